Lay down the shape: identities, and the job slices

Cause: the project is empty, and its shape has to stand before the code grows. Change: core types, and a slice for each duty of a job: admitter, dispatcher, owner at the entry; offerer, starter, caller at the agent. Each has its own state and messages; none reads a clock or a socket, but for the caller, which is the edge to the backend server. Ruled out: one package of decisions with one state, which a newcomer must read whole; a claim in the table service per job, which dies with the service's outages.

--- /dev/null
+++ b/internal/core/identifier/minter.go
@@ -0,0 +1,39 @@
+package identifier
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+)
+
+// MaxKeyLength is the longest submission key, in bytes.
+const MaxKeyLength = 128
+
+// Mint returns a new submission key, a UUIDv7 (RFC 9562) that carries now with
+// a resolution of one millisecond.
+func Mint(now time.Time) (string, error) {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return "", errors.Wrap(err, "mint a submission key")
+	}
+	ms := now.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	return id.String(), nil
+}
+
+// Created returns the creation time inside key when key is a UUIDv7, and
+// whether it is one.
+func Created(key string) (time.Time, bool) {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, false
+	}
+	var ms int64
+	for i := range 6 {
+		ms = ms<<8 | int64(id[i])
+	}
+	return time.UnixMilli(ms), true
+}
--- /dev/null
+++ b/internal/core/refuser/refuser.go
@@ -0,0 +1,47 @@
+// Package refuser holds the refusals that a caller can get. A refusal has a
+// kind for programs, a detail for people, a remedy that says what to do next,
+// and a promise about whether anything was run.
+package refuser
+
+import (
+	"time"
+)
+
+// Kind names the cause of a refusal, in snake case.
+type Kind string
+
+// The kinds of refusal.
+const (
+	BadRequest         Kind = "bad_request"
+	TooLarge           Kind = "too_large"
+	TooManyTasks       Kind = "too_many_tasks"
+	UnknownTemplate    Kind = "unknown_template"
+	UnknownWorkspace   Kind = "unknown_workspace"
+	UnknownJob         Kind = "unknown_job"
+	IdentityReused     Kind = "identity_reused"
+	IdentityExpired    Kind = "identity_expired"
+	IdentityFromFuture Kind = "identity_from_future"
+	Overloaded         Kind = "overloaded"
+	NoOwner            Kind = "no_owner"
+	Leaving            Kind = "leaving"
+	Uncertain          Kind = "uncertain"
+)
+
+// Refusal says why a request was not served. The zero value is no refusal.
+type Refusal struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Kind   Kind
+	Detail string
+	Remedy string
+	// NotRun promises that no task of the submission was or will be started by
+	// this request.
+	NotRun bool
+	// RetryAfter is how long to wait before the next try; zero gives no advice.
+	RetryAfter time.Duration
+}
+
+// Error returns the detail and the remedy.
+func (r *Refusal) Error() string {
+	return string(r.Kind) + ": " + r.Detail + "; " + r.Remedy
+}
--- /dev/null
+++ b/internal/job/offerer/offerer.go
@@ -0,0 +1,224 @@
+// Package offerer shares the slots of one agent among the entries. A free slot
+// is offered to one entry at a time, so that no two entries send work to it and
+// a start needs no question first.
+//
+// Entries with waiting work come first, in turn. Without any, the free slots
+// are spread evenly and stand ready. When an entry wants slots that stand idle
+// at another, the idle ones are recalled.
+package offerer
+
+import (
+	"slices"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+)
+
+// Offerer is the state of an agent's slots. It is not safe for use by several
+// goroutines at once. The zero value has no slots.
+type Offerer struct {
+	free     int
+	draining bool
+	shares   []*share
+	next     int
+}
+
+// share is what one entry holds of the slots.
+type share struct {
+	entry    identifier.Entry
+	offered  int
+	running  int
+	waiting  int
+	recalled int
+}
+
+// Change is a message that the offerer wants sent to an entry: slots granted, or
+// slots recalled.
+type Change struct {
+	Entry  identifier.Entry
+	Grant  int
+	Recall int
+}
+
+// New returns an offerer of n free slots.
+func New(n int) *Offerer {
+	return &Offerer{free: n}
+}
+
+// Link adds an entry and offers it its part of the slots.
+func (o *Offerer) Link(entry identifier.Entry) []Change {
+	o.shares = append(o.shares, &share{entry: entry})
+	changes := o.spread()
+	part := o.part()
+	for _, sh := range o.shares {
+		if excess := sh.offered - part; excess > 0 && sh.entry != entry {
+			changes = append(changes, o.recall(sh, excess)...)
+		}
+	}
+	return changes
+}
+
+// Unlink takes back what a lost entry was offered. Its running tasks keep their
+// slots until they end.
+func (o *Offerer) Unlink(entry identifier.Entry) []Change {
+	i := slices.IndexFunc(o.shares, func(sh *share) bool { return sh.entry == entry })
+	if i < 0 {
+		return nil
+	}
+	o.free += o.shares[i].offered
+	o.shares = slices.Delete(o.shares, i, i+1)
+	return o.spread()
+}
+
+// Use takes one offered slot for a start, and reports whether there was one.
+func (o *Offerer) Use(entry identifier.Entry, waiting int) bool {
+	sh := o.find(entry)
+	if sh == nil || sh.offered == 0 {
+		return false
+	}
+	sh.waiting = waiting
+	sh.offered--
+	sh.running++
+	return true
+}
+
+// Balance recalls idle slots from another entry when this one has work waiting
+// and holds none.
+func (o *Offerer) Balance(entry identifier.Entry) []Change {
+	sh := o.find(entry)
+	if sh == nil || o.draining || sh.offered > 0 || sh.waiting == 0 {
+		return nil
+	}
+	idle := o.mostIdle(sh)
+	if idle == nil {
+		return nil
+	}
+	return o.recall(idle, (idle.offered+1)/2)
+}
+
+// End frees the slot of a task that the entry started, and offers it anew.
+func (o *Offerer) End(entry identifier.Entry) []Change {
+	if sh := o.find(entry); sh != nil && sh.running > 0 {
+		sh.running--
+	}
+	o.free++
+	return o.spread()
+}
+
+// Want notes how much work waits at an entry, and finds slots for it.
+func (o *Offerer) Want(entry identifier.Entry, waiting int) []Change {
+	sh := o.find(entry)
+	if sh == nil {
+		return nil
+	}
+	sh.waiting = waiting
+	return append(o.spread(), o.Balance(entry)...)
+}
+
+// Return takes back slots that an entry had no use for.
+func (o *Offerer) Return(entry identifier.Entry, n int) []Change {
+	sh := o.find(entry)
+	if sh == nil {
+		return nil
+	}
+	sh.recalled = 0
+	n = min(max(n, 0), sh.offered)
+	if n > 0 {
+		sh.waiting = 0
+	}
+	sh.offered -= n
+	o.free += n
+	return o.spread()
+}
+
+// Drain recalls all offered slots and offers none from now on.
+func (o *Offerer) Drain() {
+	o.draining = true
+}
+
+// Linked returns the entries that are linked now.
+func (o *Offerer) Linked() []identifier.Entry {
+	entries := make([]identifier.Entry, 0, len(o.shares))
+	for _, sh := range o.shares {
+		entries = append(entries, sh.entry)
+	}
+	return entries
+}
+
+func (o *Offerer) find(entry identifier.Entry) *share {
+	for _, sh := range o.shares {
+		if sh.entry == entry {
+			return sh
+		}
+	}
+	return nil
+}
+
+func (o *Offerer) recall(sh *share, n int) []Change {
+	n -= sh.recalled
+	if n <= 0 {
+		return nil
+	}
+	sh.recalled += n
+	return []Change{{Entry: sh.entry, Recall: n}}
+}
+
+func (o *Offerer) mostIdle(other *share) *share {
+	var most *share
+	for _, sh := range o.shares {
+		if sh == other || sh.offered == 0 {
+			continue
+		}
+		if most == nil || sh.offered > most.offered {
+			most = sh
+		}
+	}
+	return most
+}
+
+// part is the number of slots that falls to each entry when all are equal.
+func (o *Offerer) part() int {
+	total := o.free
+	for _, sh := range o.shares {
+		total += sh.offered + sh.running
+	}
+	return (total + len(o.shares) - 1) / max(len(o.shares), 1)
+}
+
+// spread offers the free slots.
+func (o *Offerer) spread() []Change {
+	if o.draining || len(o.shares) == 0 {
+		return nil
+	}
+	var changes []Change
+	for o.free > 0 {
+		sh := o.choose()
+		sh.offered++
+		o.free--
+		i := slices.IndexFunc(changes, func(c Change) bool { return c.Entry == sh.entry })
+		if i < 0 {
+			changes = append(changes, Change{Entry: sh.entry})
+			i = len(changes) - 1
+		}
+		changes[i].Grant++
+	}
+	return changes
+}
+
+// choose returns the entry that gets the next free slot: one in turn with more
+// waiting than it was offered, or else the one that holds the fewest.
+func (o *Offerer) choose() *share {
+	for range o.shares {
+		sh := o.shares[o.next%len(o.shares)]
+		o.next = (o.next + 1) % len(o.shares)
+		if sh.waiting > sh.offered {
+			return sh
+		}
+	}
+	fewest := o.shares[0]
+	for _, sh := range o.shares[1:] {
+		if sh.offered+sh.running < fewest.offered+fewest.running {
+			fewest = sh
+		}
+	}
+	return fewest
+}
--- /dev/null
+++ b/internal/job/owner/agents.go
@@ -0,0 +1,236 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/dispatcher"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/offerer"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
+)
+
+// restAfterUnreachable is how long an agent gets no work after its backend
+// server refused a connection.
+const restAfterUnreachable = time.Second
+
+// AgentLinked takes a new link to an agent, and asks about every task that was
+// sent to it on an earlier link.
+func (o *Owner) AgentLinked(agent identifier.Agent, incarnation identifier.Incarnation) []Effect {
+	o.pool.Link(agent, incarnation)
+	for name := range o.sent[agent] {
+		j, ok := o.book.Find(name.Submission)
+		if !ok || j.ended {
+			continue
+		}
+		o.settle(agent, incarnation, j, name)
+	}
+	o.settleEvidence(agent, incarnation)
+	return o.flush()
+}
+
+// settle asks about a task whose end did not come. An agent of another
+// incarnation cannot tell, and no other can either.
+func (o *Owner) settle(agent identifier.Agent, incarnation identifier.Incarnation, j *job, name identifier.Task) {
+	t := &j.tasks[name.Index]
+	if t.incarnation != incarnation {
+		o.end(j, name.Index, lostAgent())
+		return
+	}
+	p := j.Submission.Partition(o.settings.Partitions)
+	o.Counters.Revokes++
+	o.send(agent, &starter.Revoke{
+		Incarnation: incarnation,
+		Partition:   p,
+		Epoch:       o.holdings[p].epoch,
+		Task:        name,
+		Attempt:     t.attempt,
+	})
+}
+
+// settleEvidence does the same for the tasks of earlier owners that nobody has
+// asked for yet.
+func (o *Owner) settleEvidence(agent identifier.Agent, incarnation identifier.Incarnation) {
+	for p, h := range o.holdings {
+		for name, e := range h.evidence {
+			if e.agent != agent || e.result.Outcome != describer.Pending {
+				continue
+			}
+			if e.incarnation != incarnation {
+				e.result = lostAgent()
+				h.evidence[name] = e
+				continue
+			}
+			o.send(agent, &starter.Revoke{
+				Incarnation: incarnation,
+				Partition:   p,
+				Epoch:       h.epoch,
+				Task:        name,
+				Attempt:     e.attempt,
+			})
+		}
+	}
+}
+
+// AgentLost notes that the link to an agent is gone. Its tasks stay in doubt
+// until it is linked again or their deadlines pass.
+func (o *Owner) AgentLost(agent identifier.Agent) {
+	o.pool.Unlink(agent)
+}
+
+// Granted takes slots that an agent offers.
+func (o *Owner) Granted(now time.Time, agent identifier.Agent, m *offerer.Grant) []Effect {
+	o.grant(agent, m.Incarnation, m.Slots)
+	o.dispatch(now)
+	return o.flush()
+}
+
+// Recalled gives idle slots back to an agent.
+func (o *Owner) Recalled(agent identifier.Agent, m *offerer.Recall) []Effect {
+	w := o.pool.Worker(agent)
+	if w == nil || w.Incarnation != m.Incarnation {
+		return nil
+	}
+	n := o.pool.Recall(agent, m.Slots)
+	if n > 0 {
+		w.Told = false
+	}
+	o.Counters.Returns++
+	o.send(agent, &offerer.Return{Incarnation: m.Incarnation, Slots: n})
+	return o.flush()
+}
+
+// Left drops the offered slots of an agent that is leaving.
+func (o *Owner) Left(agent identifier.Agent) {
+	if w := o.pool.Worker(agent); w != nil {
+		o.pool.Recall(agent, w.Free)
+	}
+}
+
+// Ended takes the end of a task.
+func (o *Owner) Ended(now time.Time, agent identifier.Agent, m *starter.Ended) []Effect {
+	o.grant(agent, m.Incarnation, m.Granted)
+	o.pool.Done(agent)
+	if j, t := o.findSent(agent, m.Incarnation, m.Task); t != nil {
+		if !t.at.IsZero() {
+			o.runs.Observe(j.Template, now.Sub(t.at))
+		}
+		o.end(j, m.Task.Index, m.Result)
+	}
+	o.addEvidence(agent, m.Incarnation, m.Task, m.Result)
+	o.dispatch(now)
+	return o.flush()
+}
+
+// NotStarted takes an agent's word that an attempt did not start and never will.
+// The task is queued again; the next tick sends it, so that an agent that refuses
+// everything does not make a loop.
+func (o *Owner) NotStarted(now time.Time, agent identifier.Agent, m *starter.NotStarted) []Effect {
+	o.Counters.NotStarted++
+	o.grant(agent, m.Incarnation, m.Granted)
+	o.pool.Done(agent)
+	if m.Reason == starter.Unreachable {
+		o.pool.Rest(agent, now.Add(restAfterUnreachable))
+	}
+	j, t := o.findSent(agent, m.Incarnation, m.Task)
+	if t != nil && t.attempt == m.Attempt && m.Reason != starter.Repeated {
+		o.requeue(j, m.Task)
+	}
+	if h, _, ok := o.findEvidence(agent, m.Incarnation, m.Task); ok && m.Reason == starter.Unreachable {
+		delete(h.evidence, m.Task)
+	}
+	return o.flush()
+}
+
+// Revoked takes an agent's word on a task that was in doubt.
+func (o *Owner) Revoked(now time.Time, agent identifier.Agent, m *starter.Revoked) []Effect {
+	j, t := o.findSent(agent, m.Incarnation, m.Task)
+	switch {
+	case t == nil || t.attempt != m.Attempt:
+	case !m.Started:
+		o.requeue(j, m.Task)
+	case m.Result.Outcome != describer.Pending:
+		o.end(j, m.Task.Index, m.Result)
+	}
+	if m.Started {
+		o.addEvidence(agent, m.Incarnation, m.Task, m.Result)
+	}
+	o.dispatch(now)
+	return o.flush()
+}
+
+func (o *Owner) requeue(j *job, name identifier.Task) {
+	t := &j.tasks[name.Index]
+	o.unmarkSent(t.agent, name)
+	t.state = waiting
+	o.queue.PushFront(dispatcher.Item{Task: name, Urgent: j.Urgent, Deadline: j.deadline})
+}
+
+// findSent returns the task if it was sent to this incarnation of the agent and
+// has not ended.
+func (o *Owner) findSent(agent identifier.Agent, incarnation identifier.Incarnation, name identifier.Task) (*job, *task) {
+	j, ok := o.book.Find(name.Submission)
+	if !ok || j.ended || name.Index < 0 || name.Index >= len(j.tasks) {
+		return nil, nil
+	}
+	t := &j.tasks[name.Index]
+	if t.state != sent || t.agent != agent || t.incarnation != incarnation {
+		return nil, nil
+	}
+	return j, t
+}
+
+// addEvidence keeps the end of a task of an earlier owner that nobody has asked
+// for yet.
+func (o *Owner) addEvidence(agent identifier.Agent, incarnation identifier.Incarnation, name identifier.Task, r describer.Result) {
+	h, e, ok := o.findEvidence(agent, incarnation, name)
+	if ok && r.Outcome != describer.Pending {
+		e.result = r
+		h.evidence[name] = e
+	}
+}
+
+func (o *Owner) findEvidence(agent identifier.Agent, incarnation identifier.Incarnation, name identifier.Task) (*holding, evidence, bool) {
+	h := o.holdings[name.Submission.Partition(o.settings.Partitions)]
+	if h == nil {
+		return nil, evidence{}, false
+	}
+	e, ok := h.evidence[name]
+	return h, e, ok && e.agent == agent && e.incarnation == incarnation
+}
+
+func (o *Owner) grant(agent identifier.Agent, incarnation identifier.Incarnation, n int) {
+	if w := o.pool.Worker(agent); w != nil && w.Incarnation == incarnation {
+		o.pool.Grant(agent, n)
+	}
+}
+
+// want tells the agents that do not know it yet that work waits here.
+func (o *Owner) want() {
+	for _, w := range o.pool.Workers() {
+		if w.Told {
+			continue
+		}
+		w.Told = true
+		o.Counters.Wants++
+		o.send(w.Agent, &offerer.Want{Waiting: o.queue.Len()})
+	}
+}
+
+func (o *Owner) markSent(agent identifier.Agent, name identifier.Task) {
+	if o.sent[agent] == nil {
+		o.sent[agent] = make(map[identifier.Task]bool)
+	}
+	o.sent[agent][name] = true
+}
+
+func (o *Owner) unmarkSent(agent identifier.Agent, name identifier.Task) {
+	delete(o.sent[agent], name)
+	if len(o.sent[agent]) == 0 {
+		delete(o.sent, agent)
+	}
+}
+
+func lostAgent() describer.Result {
+	return describer.Result{Outcome: describer.MayHaveRun, Detail: "the agent that was asked to run it was replaced"}
+}
--- /dev/null
+++ b/internal/job/owner/holding.go
@@ -0,0 +1,155 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
+)
+
+// holding is a partition that this entry owns. It serves once every agent has
+// sealed the earlier epochs, or is known to be gone.
+type holding struct {
+	epoch   identifier.Epoch
+	serving bool
+	// cutoff is zero when every agent has reported. Else the starts of
+	// submissions created up to cutoff may have left no record.
+	cutoff   time.Time
+	evidence map[identifier.Task]evidence
+	digests  map[identifier.Submission]uint64
+	// expiry is when no identity of an earlier owner is admissible any more.
+	expiry  time.Time
+	pending []pending
+}
+
+// evidence is a start under an earlier owner, as an agent has it on record.
+type evidence struct {
+	agent       identifier.Agent
+	incarnation identifier.Incarnation
+	attempt     uint32
+	result      describer.Result
+}
+
+// pending is a submission that waits for the partition to be served.
+type pending struct {
+	from Request
+	job  describer.Job
+}
+
+// Claim begins to own a partition without serving it.
+func (o *Owner) Claim(c starter.Claim) {
+	o.holdings[c.Partition] = &holding{
+		epoch:    c.Epoch,
+		evidence: make(map[identifier.Task]evidence),
+		digests:  make(map[identifier.Submission]uint64),
+	}
+}
+
+// Sealed adds an agent's records to the evidence of the partitions.
+func (o *Owner) Sealed(agent identifier.Agent, m *starter.Sealed) {
+	for _, r := range m.Records {
+		h := o.holdings[r.Task.Submission.Partition(o.settings.Partitions)]
+		if h == nil || h.serving {
+			continue
+		}
+		h.evidence[r.Task] = evidence{agent, m.Incarnation, r.Attempt, r.Result}
+		h.digests[r.Task.Submission] = r.Digest
+	}
+}
+
+// Serve opens a partition that was claimed. A cutoff that is not zero says that
+// starts of submissions created up to then may be unknown.
+func (o *Owner) Serve(now time.Time, c starter.Claim, cutoff time.Time) []Effect {
+	h := o.holdings[c.Partition]
+	if h == nil || h.epoch != c.Epoch || h.serving {
+		return nil
+	}
+	h.serving = true
+	h.cutoff = cutoff
+	h.expiry = now.Add(o.settings.Retention + o.settings.ClockBound)
+	pending := h.pending
+	h.pending = nil
+	for _, p := range pending {
+		o.admit(now, h, p.from, p.job)
+	}
+	return o.flush()
+}
+
+// Lose gives up a partition that has another owner now. Whoever waits for a job
+// of it is told to ask there.
+func (o *Owner) Lose(p identifier.Partition) []Effect {
+	h := o.holdings[p]
+	if h == nil {
+		return nil
+	}
+	delete(o.holdings, p)
+	for _, waiting := range h.pending {
+		o.tell(waiting.from, Reply{Moved: true})
+	}
+	var lost []*job
+	o.book.Each(func(s identifier.Submission, j *job) {
+		if s.Partition(o.settings.Partitions) == p {
+			lost = append(lost, j)
+		}
+	})
+	for _, j := range lost {
+		o.forget(j)
+	}
+	return o.flush()
+}
+
+func (o *Owner) forget(j *job) {
+	o.book.Remove(j.Submission)
+	if j.ended {
+		return
+	}
+	o.deadlines.remove(j)
+	for i, t := range j.tasks {
+		if t.state == sent {
+			o.unmarkSent(t.agent, identifier.Task{Submission: j.Submission, Index: i})
+		}
+	}
+	for _, to := range j.waiters {
+		o.tell(to, Reply{Moved: true})
+	}
+	j.ended = true
+}
+
+// Holds returns the epoch under which a partition is owned, and whether it is
+// served.
+func (o *Owner) Holds(p identifier.Partition) (identifier.Epoch, bool) {
+	h := o.holdings[p]
+	if h == nil {
+		return 0, false
+	}
+	return h.epoch, h.serving
+}
+
+// uncertain reports whether starts of a submission created at that time may be
+// unknown.
+func (h *holding) uncertain(created time.Time) bool {
+	return !h.cutoff.IsZero() && !created.After(h.cutoff)
+}
+
+// expire drops the evidence once every submission of an earlier owner is too old
+// to be admitted.
+func (h *holding) expire(now time.Time) {
+	if !h.serving || len(h.evidence) == 0 || now.Before(h.expiry) {
+		return
+	}
+	h.evidence = make(map[identifier.Task]evidence)
+	h.digests = make(map[identifier.Submission]uint64)
+}
+
+// contradicts reports whether the evidence shows other content for s.
+func (h *holding) contradicts(s identifier.Submission, digest uint64) bool {
+	known, ok := h.digests[s]
+	return ok && known != digest
+}
+
+// knows reports whether the job may have been admitted by an earlier owner.
+func (h *holding) knows(j *describer.Job) bool {
+	_, ok := h.digests[j.Submission]
+	return ok || h.uncertain(j.Created)
+}
--- /dev/null
+++ b/internal/job/owner/messages.go
@@ -0,0 +1,62 @@
+package owner
+
+import (
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
+)
+
+// Submit asks the owner of a partition to admit a job and to answer it.
+type Submit struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Sequence names this request among those of the asking entry.
+	Sequence uint64
+	Job      describer.Job
+}
+
+// Inquire asks the owner of a partition about a job, and may cancel it.
+type Inquire struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Sequence   uint64
+	Submission identifier.Submission
+	Cancel     bool
+}
+
+// Reply answers a Submit or an Inquire.
+type Reply struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Sequence uint64
+	// Moved means that the partition has another owner, who must be asked.
+	Moved bool
+	// Running means that the job has no answer yet.
+	Running bool
+	Answer  describer.Answer
+}
+
+// Request names who waits for a reply.
+type Request struct {
+	Entry    identifier.Entry
+	Sequence uint64
+}
+
+// Effect is something that the owner wants done: a Tell or a Send.
+type Effect interface {
+	effect()
+}
+
+// Tell is a reply to one request.
+type Tell struct {
+	To    Request
+	Reply Reply
+}
+
+// Send is a message to an agent.
+type Send struct {
+	Agent   identifier.Agent
+	Message any
+}
+
+func (Tell) effect() {}
+func (Send) effect() {}
--- /dev/null
+++ b/internal/job/starter/messages.go
@@ -0,0 +1,168 @@
+package starter
+
+import (
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
+)
+
+// Start asks an agent to start one task.
+type Start struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Incarnation is the agent that is meant; any other refuses.
+	Incarnation identifier.Incarnation
+	Partition   identifier.Partition
+	Epoch       identifier.Epoch
+	Task        identifier.Task
+	// Attempt counts the starts sent for this task in this epoch, from one.
+	Attempt uint32
+	// Digest is the content of the job, see describer.Job.
+	Digest  uint64
+	Path    string
+	Timeout time.Duration
+	// NotRepeated is passed on to the backend server.
+	NotRepeated bool
+	Input       []byte
+	// Waiting is how many tasks wait at the entry after this one.
+	Waiting int
+}
+
+// Ended reports the end of a task that was started.
+type Ended struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Incarnation identifier.Incarnation
+	Task        identifier.Task
+	Result      describer.Result
+	// Granted is how many slots the agent offers along with this report.
+	Granted int
+}
+
+// Reason says why an agent did not start a task.
+type Reason uint8
+
+// The reasons of an agent for not starting a task.
+const (
+	// Accepted is the reason of no refusal.
+	Accepted Reason = iota
+	// OtherIncarnation means that the start was for an earlier or later process.
+	OtherIncarnation
+	// Fenced means that a newer epoch of the partition is known.
+	Fenced
+	// TenureOver means that the owner's tenure has not been confirmed in time.
+	TenureOver
+	// Tombstoned means that this attempt was revoked or refused before.
+	Tombstoned
+	// Repeated means that the task was already started here.
+	Repeated
+	// NoSlot means that the entry held no offered slot.
+	NoSlot
+	// Draining means that the agent is leaving.
+	Draining
+	// Unreachable means that no connection to the backend server could be made.
+	Unreachable
+)
+
+// String returns the name of r in snake case.
+func (r Reason) String() string {
+	names := [...]string{
+		"accepted", "other_incarnation", "fenced", "tenure_over", "tombstoned",
+		"repeated", "no_slot", "draining", "unreachable",
+	}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
+
+// NotStarted reports that an attempt was refused and never will start.
+type NotStarted struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Incarnation identifier.Incarnation
+	Task        identifier.Task
+	Epoch       identifier.Epoch
+	Attempt     uint32
+	Reason      Reason
+	// Granted is how many slots the agent offers along with this report.
+	Granted int
+}
+
+// Revoke asks an agent for the state of a task whose start is in doubt, and
+// forbids the start if it has not happened.
+type Revoke struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Incarnation identifier.Incarnation
+	Partition   identifier.Partition
+	Epoch       identifier.Epoch
+	Task        identifier.Task
+	Attempt     uint32
+}
+
+// Revoked answers a Revoke. The attempt was either started, with Result when it
+// has ended, or it never will be.
+type Revoked struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Incarnation identifier.Incarnation
+	Task        identifier.Task
+	Epoch       identifier.Epoch
+	Attempt     uint32
+	Started     bool
+	Result      describer.Result
+}
+
+// Seal asks an agent to refuse all lower epochs of some partitions, and for what
+// it has started in them.
+type Seal struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Incarnation identifier.Incarnation
+	Claims      []Claim
+}
+
+// Claim is one partition with the epoch of its new owner.
+type Claim struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Partition identifier.Partition
+	Epoch     identifier.Epoch
+}
+
+// Sealed answers a Seal with the records of the partitions that it named.
+type Sealed struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Incarnation identifier.Incarnation
+	Claims      []Claim
+	Records     []Record
+}
+
+// Record is a task that an agent has started. Its result is pending while the
+// task runs.
+type Record struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Task    identifier.Task
+	Attempt uint32
+	Digest  uint64
+	Result  describer.Result
+}
+
+// AskTenure asks an entry how long its tenure still lasts.
+type AskTenure struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Sequence uint64
+}
+
+// Tenure answers AskTenure.
+type Tenure struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Sequence  uint64
+	Remaining time.Duration
+}
--- /dev/null
+++ b/internal/job/starter/starter.go
@@ -0,0 +1,257 @@
+// Package starter decides, beside a backend server, whether a task may start.
+// It is the last check before a side effect: whatever goes wrong among the
+// entries, an agent starts no task twice and none for an owner that has been
+// replaced.
+package starter
+
+import (
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
+)
+
+// Starter is what one incarnation of an agent remembers. It is not safe for use
+// by several goroutines at once. Incarnation and Retention are set before use.
+type Starter struct {
+	Incarnation identifier.Incarnation
+	// Retention is how long a record is kept after the task's last change.
+	Retention time.Duration
+
+	draining bool
+	fences   map[identifier.Partition]fence
+	tenures  map[identifier.Entry]time.Time
+	asked    map[identifier.Entry]ask
+	records  map[identifier.Task]*record
+	// expiry holds the records in the order of their making.
+	expiry []expiring
+	// running counts the records whose task has started and not ended.
+	running int
+}
+
+// fence is the highest epoch of a partition that was seen, with the entry that
+// showed it.
+type fence struct {
+	epoch identifier.Epoch
+	owner identifier.Entry
+}
+
+type record struct {
+	partition identifier.Partition
+	epoch     identifier.Epoch
+	attempt   uint32
+	digest    uint64
+	started   bool
+	result    describer.Result
+}
+
+type expiring struct {
+	task identifier.Task
+	at   time.Time
+}
+
+type ask struct {
+	sequence uint64
+	sent     time.Time
+}
+
+// Start decides on m from the entry named from, which holds a slot or not. When
+// it returns Accepted, the start is on record and the caller must call the
+// backend server, once.
+//
+// A refused attempt leaves a tombstone: the owner will send the task elsewhere,
+// so a repeated copy of m must not start it here when, say, the tenure has been
+// confirmed in the meantime.
+func (s *Starter) Start(now time.Time, from identifier.Entry, m *Start, slot bool) Reason {
+	if m.Incarnation != s.Incarnation {
+		return OtherIncarnation
+	}
+	if m.Epoch < s.fences[m.Partition].epoch {
+		return Fenced
+	}
+	s.raise(m.Partition, m.Epoch, from)
+	r := s.records[m.Task]
+	if r != nil && r.started {
+		return Repeated
+	}
+	if r != nil && !r.before(m.Epoch, m.Attempt) {
+		return Tombstoned
+	}
+	r = s.keep(now, m.Partition, m.Epoch, m.Task, m.Attempt)
+	r.digest = m.Digest
+	if s.draining {
+		return Draining
+	}
+	if !now.Before(s.tenures[from]) {
+		return TenureOver
+	}
+	if !slot {
+		return NoSlot
+	}
+	r.started = true
+	s.running++
+	return Accepted
+}
+
+// before reports whether r is older than the given attempt.
+func (r *record) before(epoch identifier.Epoch, attempt uint32) bool {
+	if r.epoch != epoch {
+		return r.epoch < epoch
+	}
+	return r.attempt < attempt
+}
+
+func (s *Starter) raise(p identifier.Partition, e identifier.Epoch, owner identifier.Entry) {
+	if s.fences == nil {
+		s.fences = make(map[identifier.Partition]fence)
+	}
+	if e > s.fences[p].epoch {
+		s.fences[p] = fence{e, owner}
+	}
+}
+
+func (s *Starter) keep(now time.Time, p identifier.Partition, e identifier.Epoch, task identifier.Task, attempt uint32) *record {
+	if s.records == nil {
+		s.records = make(map[identifier.Task]*record)
+	}
+	r := s.records[task]
+	if r == nil {
+		r = &record{partition: p}
+		s.records[task] = r
+		s.expiry = append(s.expiry, expiring{task, now.Add(s.Retention)})
+	}
+	r.epoch, r.attempt = e, attempt
+	return r
+}
+
+// End keeps the result of a started task, and returns the entry to report it to:
+// the newest owner of the partition that is known.
+func (s *Starter) End(task identifier.Task, result describer.Result) identifier.Entry {
+	r := s.records[task]
+	if r == nil || !r.started || r.result.Outcome != describer.Pending {
+		return ""
+	}
+	r.result = result
+	s.running--
+	return s.fences[r.partition].owner
+}
+
+// Undo turns the record of a started task into a tombstone, and returns the
+// report for the entry that is named. It is only for a call that provably never
+// reached the backend server.
+func (s *Starter) Undo(task identifier.Task) (identifier.Entry, NotStarted) {
+	r := s.records[task]
+	if r == nil || !r.started || r.result.Outcome != describer.Pending {
+		return "", NotStarted{}
+	}
+	r.started = false
+	s.running--
+	return s.fences[r.partition].owner, NotStarted{
+		Incarnation: s.Incarnation,
+		Task:        task,
+		Epoch:       r.epoch,
+		Attempt:     r.attempt,
+		Reason:      Unreachable,
+	}
+}
+
+// Revoke answers m, and leaves a tombstone unless the task has started.
+func (s *Starter) Revoke(now time.Time, from identifier.Entry, m *Revoke) (Revoked, bool) {
+	if m.Incarnation != s.Incarnation || m.Epoch < s.fences[m.Partition].epoch {
+		return Revoked{}, false
+	}
+	s.raise(m.Partition, m.Epoch, from)
+	answer := Revoked{Incarnation: s.Incarnation, Task: m.Task, Epoch: m.Epoch, Attempt: m.Attempt}
+	r := s.records[m.Task]
+	if r != nil && r.started {
+		answer.Started = true
+		answer.Result = r.result
+		return answer, true
+	}
+	if r == nil || r.before(m.Epoch, m.Attempt) {
+		s.keep(now, m.Partition, m.Epoch, m.Task, m.Attempt)
+	}
+	return answer, true
+}
+
+// Seal raises the fences to the claims of m and returns what was started in
+// their partitions. It reports false when m is for another incarnation.
+func (s *Starter) Seal(from identifier.Entry, m *Seal) (Sealed, bool) {
+	if m.Incarnation != s.Incarnation {
+		return Sealed{}, false
+	}
+	answer := Sealed{Incarnation: s.Incarnation, Claims: m.Claims}
+	sealed := make(map[identifier.Partition]bool, len(m.Claims))
+	for _, c := range m.Claims {
+		s.raise(c.Partition, c.Epoch, from)
+		sealed[c.Partition] = true
+	}
+	for task, r := range s.records {
+		if r.started && sealed[r.partition] {
+			answer.Records = append(answer.Records, Record{Task: task, Attempt: r.attempt, Digest: r.digest, Result: r.result})
+		}
+	}
+	return answer, true
+}
+
+// Fence raises the fence of one partition without a seal, from a reading of the
+// table service.
+func (s *Starter) Fence(owner identifier.Entry, c Claim) {
+	s.raise(c.Partition, c.Epoch, owner)
+}
+
+// AskTenure notes that the question with this sequence is being sent.
+func (s *Starter) AskTenure(now time.Time, to identifier.Entry, sequence uint64) {
+	if s.asked == nil {
+		s.asked = make(map[identifier.Entry]ask)
+	}
+	s.asked[to] = ask{sequence, now}
+}
+
+// Tenure takes an entry's answer. The tenure is counted from the sending of the
+// question: a pause on either side, or on the way, can only shorten it.
+func (s *Starter) Tenure(from identifier.Entry, m *Tenure) {
+	a, ok := s.asked[from]
+	if !ok || a.sequence != m.Sequence {
+		return
+	}
+	if s.tenures == nil {
+		s.tenures = make(map[identifier.Entry]time.Time)
+	}
+	until := a.sent.Add(m.Remaining)
+	if until.After(s.tenures[from]) {
+		s.tenures[from] = until
+	}
+}
+
+// Drain makes the starter refuse all further starts.
+func (s *Starter) Drain() {
+	s.draining = true
+}
+
+// Running returns how many started tasks have not ended.
+func (s *Starter) Running() int {
+	return s.running
+}
+
+// Records returns how many records are held, tombstones included.
+func (s *Starter) Records() int {
+	return len(s.records)
+}
+
+// Expire forgets the records whose retention is over. A running task is kept
+// for another retention.
+func (s *Starter) Expire(now time.Time) {
+	n := 0
+	for n < len(s.expiry) && !now.Before(s.expiry[n].at) {
+		task := s.expiry[n].task
+		n++
+		r := s.records[task]
+		if r.started && r.result.Outcome == describer.Pending {
+			s.expiry = append(s.expiry, expiring{task, now.Add(s.Retention)})
+			continue
+		}
+		delete(s.records, task)
+	}
+	s.expiry = s.expiry[n:]
+}
