Add membership decisions and the links between processes

Cause: entries must agree on owners without a coordination service of our own. Links frame msgpack over TCP, with a task that reads and one that writes for each connection, and one task for each peer that is dialled. Ruled out: a record per partition, which needs 64 reads to confirm a tenure in place of one; hot polling by agents, which at 24,000 would exceed the table's reads. Conclusion: encoding stays in one package; the decisions do not know of it.

--- /dev/null
+++ b/internal/link/connector/handshake.go
@@ -0,0 +1,116 @@
+package connector
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/link/encoder"
+	"github.com/dandeliongrade/dandeliongrade/internal/link/framer"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+)
+
+// VersionError reports the other side's version of the protocol.
+type VersionError struct {
+	Theirs int
+}
+
+// Error names the remedy.
+func (e *VersionError) Error() string {
+	return errors.Errorf("the other side speaks version %d of the link protocol and this one version %d; run one version of the program in a cell",
+		e.Theirs, announcer.ProtocolVersion).Error()
+}
+
+// UnexpectedError reports a message that is not allowed at that point.
+type UnexpectedError struct {
+	Message any
+}
+
+// Error names the remedy.
+func (e *UnexpectedError) Error() string {
+	return errors.Errorf("message %T is not expected here; only processes of this cell may dial a link port", e.Message).Error()
+}
+
+// Dial connects to a link port and introduces this process.
+func Dial(ctx context.Context, to netip.AddrPort, timing Timing, hello announcer.Hello) (*Link, announcer.Welcome, error) {
+	dialer := net.Dialer{Timeout: timing.Silence}
+	conn, err := dialer.DialContext(ctx, "tcp", to.String())
+	if err != nil {
+		return nil, announcer.Welcome{}, errors.Wrap(err, "dial a link")
+	}
+	hello.Version = announcer.ProtocolVersion
+	message, err := exchange(conn, timing, &hello)
+	if err != nil {
+		_ = conn.Close()
+		return nil, announcer.Welcome{}, err
+	}
+	welcome, ok := message.(*announcer.Welcome)
+	if !ok {
+		_ = conn.Close()
+		return nil, announcer.Welcome{}, &UnexpectedError{message}
+	}
+	if welcome.Version != announcer.ProtocolVersion {
+		_ = conn.Close()
+		return nil, announcer.Welcome{}, &VersionError{welcome.Version}
+	}
+	return NewLink(conn, timing), *welcome, nil
+}
+
+func exchange(conn net.Conn, timing Timing, message any) (any, error) {
+	if err := conn.SetDeadline(time.Now().Add(timing.Silence)); err != nil {
+		return nil, err
+	}
+	if err := writeOne(conn, message); err != nil {
+		return nil, err
+	}
+	answer, err := readOne(conn)
+	if err != nil {
+		return nil, errors.Wrap(err, "wait for the welcome on a link")
+	}
+	return answer, conn.SetDeadline(time.Time{})
+}
+
+// Accept answers the introduction of the side that dialled.
+func Accept(conn net.Conn, timing Timing, welcome announcer.Welcome) (*Link, announcer.Hello, error) {
+	if err := conn.SetDeadline(time.Now().Add(timing.Silence)); err != nil {
+		return nil, announcer.Hello{}, err
+	}
+	message, err := readOne(conn)
+	if err != nil {
+		return nil, announcer.Hello{}, err
+	}
+	hello, ok := message.(*announcer.Hello)
+	if !ok {
+		return nil, announcer.Hello{}, &UnexpectedError{message}
+	}
+	welcome.Version = announcer.ProtocolVersion
+	if err := writeOne(conn, &welcome); err != nil {
+		return nil, announcer.Hello{}, err
+	}
+	if hello.Version != announcer.ProtocolVersion {
+		return nil, announcer.Hello{}, &VersionError{hello.Version}
+	}
+	return NewLink(conn, timing), *hello, conn.SetDeadline(time.Time{})
+}
+
+func writeOne(conn net.Conn, message any) error {
+	b, err := framer.Append(nil, func(b []byte) ([]byte, error) {
+		return encoder.Append(b, message)
+	})
+	if err != nil {
+		return err
+	}
+	_, err = conn.Write(b)
+	return err
+}
+
+func readOne(conn net.Conn) (any, error) {
+	body, err := framer.Read(conn, nil)
+	if err != nil {
+		return nil, err
+	}
+	return encoder.Decode(body)
+}
--- /dev/null
+++ b/internal/link/connector/keep.go
@@ -0,0 +1,91 @@
+package connector
+
+import (
+	"context"
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+)
+
+// The pauses before a link is dialled anew.
+const (
+	firstPause = 50 * time.Millisecond
+	lastPause  = time.Second
+)
+
+// Keep runs a task for each entry of the newest list on wanted, until ctx ends.
+// An entry that is no longer listed, or has another address, loses its task. The
+// task calls session again and again; session dials, runs the link, and returns
+// whether the link ever was up.
+func Keep(ctx context.Context, wanted <-chan []announcer.Peer, session func(context.Context, announcer.Peer) bool) {
+	tasks := make(map[announcer.Peer]context.CancelFunc)
+	ended := make(chan struct{})
+	running := 0
+	for {
+		select {
+		case peers := <-wanted:
+			running += adjust(ctx, tasks, peers, session, ended)
+		case <-ended:
+			running--
+		case <-ctx.Done():
+			for ; running > 0; running-- {
+				<-ended
+			}
+			return
+		}
+	}
+}
+
+// adjust begins and ends tasks and returns how many have begun.
+func adjust(ctx context.Context, tasks map[announcer.Peer]context.CancelFunc, peers []announcer.Peer, session func(context.Context, announcer.Peer) bool, ended chan<- struct{}) int {
+	listed := make(map[announcer.Peer]bool)
+	begun := 0
+	for _, p := range peers {
+		listed[p] = true
+		if tasks[p] != nil {
+			continue
+		}
+		taskCtx, cancel := context.WithCancel(ctx)
+		tasks[p] = cancel
+		begun++
+		go func() {
+			keepOne(taskCtx, p, session)
+			ended <- struct{}{}
+		}()
+	}
+	for p, cancel := range tasks {
+		if !listed[p] {
+			cancel()
+			delete(tasks, p)
+		}
+	}
+	return begun
+}
+
+func keepOne(ctx context.Context, p announcer.Peer, session func(context.Context, announcer.Peer) bool) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		if session(ctx, p) {
+			pause = firstPause
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		pause = min(2*pause, lastPause)
+	}
+}
+
+// Without returns the peers other than the named one.
+func Without(peers []announcer.Peer, name identifier.Entry) []announcer.Peer {
+	var others []announcer.Peer
+	for _, p := range peers {
+		if p.Entry != name {
+			others = append(others, p)
+		}
+	}
+	return others
+}
--- /dev/null
+++ b/internal/link/connector/link.go
@@ -0,0 +1,175 @@
+// Package connector runs the links between the system's processes. A link is one
+// TCP connection with a task that reads and a task that writes; both end with
+// it.
+package connector
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/link/encoder"
+	"github.com/dandeliongrade/dandeliongrade/internal/link/framer"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+)
+
+// Timing is the pace of a link.
+type Timing struct {
+	// Heartbeat is the longest time without a message to the other side.
+	Heartbeat time.Duration
+	// Silence is the longest time without a message from the other side; after
+	// it the connection is dropped.
+	Silence time.Duration
+}
+
+// maxPending bounds the bytes that wait to be written. A side that reads nothing
+// for so long is as good as silent.
+const maxPending = 64 << 20
+
+// errOverrun ends a link whose other side does not keep up.
+var errOverrun = errors.New("the other side of the link does not read; it will be dialled anew")
+
+// Link is an open connection. Send may be called by several goroutines at once.
+type Link struct {
+	// Beat returns the message that is sent at each heartbeat, by default an
+	// announcer.Heartbeat. It is set before Run.
+	Beat func() any
+
+	conn   net.Conn
+	timing Timing
+
+	mu      sync.Mutex
+	pending []byte
+	closed  bool
+	// wake holds a token while pending has bytes.
+	wake chan struct{}
+}
+
+// NewLink takes over a connection.
+func NewLink(conn net.Conn, timing Timing) *Link {
+	beat := func() any { return &announcer.Heartbeat{} }
+	return &Link{Beat: beat, conn: conn, timing: timing, wake: make(chan struct{}, 1)}
+}
+
+// Send queues a message. It never blocks; on a link that has ended the message
+// is dropped, as it would be on the way.
+func (l *Link) Send(message any) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	if len(l.pending) > maxPending {
+		l.closed = true
+		_ = l.conn.Close()
+		return errOverrun
+	}
+	pending, err := framer.Append(l.pending, func(b []byte) ([]byte, error) {
+		return encoder.Append(b, message)
+	})
+	if err != nil {
+		return err
+	}
+	l.pending = pending
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// Run reads messages and passes them to handle, one after the other, until the
+// connection ends, handle fails, or ctx does. It returns the cause. The
+// connection is closed and the writing task has ended when it returns.
+func (l *Link) Run(ctx context.Context, handle func(message any) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	written := make(chan error, 1)
+	go l.write(ctx, written)
+	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
+	err := l.read(handle)
+	stop()
+	cancel()
+	l.Close()
+	if writeErr := <-written; writeErr != nil && errors.Is(err, net.ErrClosed) {
+		return writeErr
+	}
+	return err
+}
+
+func (l *Link) read(handle func(message any) error) error {
+	r := bufio.NewReader(l.conn)
+	var buf []byte
+	for {
+		if err := l.conn.SetReadDeadline(time.Now().Add(l.timing.Silence)); err != nil {
+			return err
+		}
+		body, err := framer.Read(r, buf)
+		if err != nil {
+			return err
+		}
+		buf = reusable(body)
+		message, err := encoder.Decode(body)
+		if err != nil {
+			return err
+		}
+		if err := handle(message); err != nil {
+			return err
+		}
+	}
+}
+
+// maxReused bounds the read buffer that a link keeps between messages, in bytes.
+const maxReused = 64 << 10
+
+func reusable(buf []byte) []byte {
+	if cap(buf) > maxReused {
+		return nil
+	}
+	return buf
+}
+
+// write sends what is pending, in one system call for all that has gathered, and
+// the heartbeats. It reports its end on done.
+func (l *Link) write(ctx context.Context, done chan<- error) {
+	ticker := time.NewTicker(l.timing.Heartbeat)
+	defer ticker.Stop()
+	var batch []byte
+	for {
+		select {
+		case <-ctx.Done():
+			done <- nil
+			return
+		case <-ticker.C:
+			_ = l.Send(l.Beat())
+		case <-l.wake:
+			batch = l.take(batch)
+			_ = l.conn.SetWriteDeadline(time.Now().Add(l.timing.Silence))
+			if _, err := l.conn.Write(batch); err != nil {
+				_ = l.conn.Close()
+				done <- errors.Wrap(err, "write to a link")
+				return
+			}
+		}
+	}
+}
+
+// take returns the pending bytes, and leaves the old batch's space for the next.
+func (l *Link) take(old []byte) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	batch := l.pending
+	l.pending = reusable(old)[:0]
+	return batch
+}
+
+// Close ends the link from this side.
+func (l *Link) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	_ = l.conn.Close()
+}
--- /dev/null
+++ b/internal/link/connector/listener.go
@@ -0,0 +1,57 @@
+package connector
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// acceptPause is the wait after an accept that failed, say for want of file
+// descriptors.
+const acceptPause = 50 * time.Millisecond
+
+// Serve accepts connections from ln and runs serve for each, in a task of its
+// own, until ctx ends. It returns when all of them have ended.
+func Serve(ctx context.Context, ln net.Listener, serve func(context.Context, net.Conn)) {
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	accepted := make(chan net.Conn)
+	go accept(ctx, ln, accepted)
+	ended := make(chan struct{})
+	running := 0
+	for accepted != nil || running > 0 {
+		select {
+		case conn, ok := <-accepted:
+			if !ok {
+				accepted = nil
+				continue
+			}
+			running++
+			go func() {
+				serve(ctx, conn)
+				ended <- struct{}{}
+			}()
+		case <-ended:
+			running--
+		}
+	}
+}
+
+// accept passes on connections until the listener is closed, and closes the
+// channel then.
+func accept(ctx context.Context, ln net.Listener, accepted chan<- net.Conn) {
+	defer close(accepted)
+	for {
+		conn, err := ln.Accept()
+		if err == nil {
+			accepted <- conn
+			continue
+		}
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		time.Sleep(acceptPause)
+	}
+}
--- /dev/null
+++ b/internal/link/encoder/encoder.go
@@ -0,0 +1,146 @@
+// Package encoder turns the messages of the slices into bytes and back. A message
+// is one byte for its type, then its fields in msgpack. The slices know nothing
+// of it: this is the only place that knows both the messages and their codes.
+package encoder
+
+import (
+	"bytes"
+	"reflect"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/job/offerer"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/owner"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+)
+
+// messages lists the types by their codes. A code never changes its meaning; a
+// new type goes at the end, and announcer.ProtocolVersion rises.
+var messages = []reflect.Type{
+	1:  reflect.TypeFor[announcer.Hello](),
+	2:  reflect.TypeFor[announcer.Welcome](),
+	3:  reflect.TypeFor[announcer.Heartbeat](),
+	4:  reflect.TypeFor[announcer.Peers](),
+	5:  reflect.TypeFor[starter.Start](),
+	6:  reflect.TypeFor[starter.Ended](),
+	7:  reflect.TypeFor[starter.NotStarted](),
+	8:  reflect.TypeFor[starter.Revoke](),
+	9:  reflect.TypeFor[starter.Revoked](),
+	10: reflect.TypeFor[starter.Seal](),
+	11: reflect.TypeFor[starter.Sealed](),
+	12: reflect.TypeFor[starter.AskTenure](),
+	13: reflect.TypeFor[starter.Tenure](),
+	14: reflect.TypeFor[offerer.Grant](),
+	15: reflect.TypeFor[offerer.Recall](),
+	16: reflect.TypeFor[offerer.Return](),
+	17: reflect.TypeFor[offerer.Want](),
+	18: reflect.TypeFor[offerer.Leave](),
+	19: reflect.TypeFor[owner.Submit](),
+	20: reflect.TypeFor[owner.Inquire](),
+	21: reflect.TypeFor[owner.Reply](),
+	22: reflect.TypeFor[announcer.Bye](),
+}
+
+var codes = func() map[reflect.Type]byte {
+	codes := make(map[reflect.Type]byte)
+	for code, t := range messages {
+		if t != nil {
+			codes[t] = byte(code)
+		}
+	}
+	return codes
+}()
+
+// UnknownTypeError reports a message whose code has no type.
+type UnknownTypeError struct {
+	Code byte
+}
+
+// Error names the remedy.
+func (e *UnknownTypeError) Error() string {
+	return errors.Errorf("message of unknown type %d; run one version of the program on both sides of the link", e.Code).Error()
+}
+
+// MalformedError reports a message that does not decode.
+type MalformedError struct {
+	Cause error
+}
+
+// Error names the remedy.
+func (e *MalformedError) Error() string {
+	return "message does not decode: " + e.Cause.Error() + "; only processes of this cell may dial a link port"
+}
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error {
+	return e.Cause
+}
+
+// sink lets the msgpack encoder append to a slice.
+type sink struct {
+	b []byte
+}
+
+func (s *sink) Write(p []byte) (int, error) {
+	s.b = append(s.b, p...)
+	return len(p), nil
+}
+
+func (s *sink) WriteByte(c byte) error {
+	s.b = append(s.b, c)
+	return nil
+}
+
+type pooled struct {
+	sink sink
+	enc  *msgpack.Encoder
+}
+
+var encoders = sync.Pool{New: func() any {
+	p := &pooled{}
+	p.enc = msgpack.NewEncoder(&p.sink)
+	p.enc.UseCompactInts(true)
+	return p
+}}
+
+// Append adds the encoding of a message, given by pointer, to dst.
+func Append(dst []byte, message any) ([]byte, error) {
+	t := reflect.TypeOf(message)
+	if t == nil || t.Kind() != reflect.Pointer {
+		return dst, errors.Errorf("message %T is not a pointer; pass a pointer to a message type", message)
+	}
+	code, ok := codes[t.Elem()]
+	if !ok {
+		return dst, errors.Errorf("message %T has no code; add it to the list of messages", message)
+	}
+	p := encoders.Get().(*pooled)
+	defer encoders.Put(p)
+	p.sink.b = append(dst, code)
+	err := p.enc.Encode(message)
+	dst = p.sink.b
+	p.sink.b = nil
+	return dst, errors.Wrapf(err, "encode %T", message)
+}
+
+// Decode returns a pointer to the message in body. It keeps no reference to
+// body.
+func Decode(body []byte) (message any, err error) {
+	if len(body) == 0 {
+		return nil, &MalformedError{errors.New("it is empty")}
+	}
+	code := body[0]
+	if int(code) >= len(messages) || messages[code] == nil {
+		return nil, &UnknownTypeError{code}
+	}
+	message = reflect.New(messages[code]).Interface()
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(bytes.NewReader(body[1:]))
+	if err := dec.Decode(message); err != nil {
+		return nil, &MalformedError{err}
+	}
+	return message, nil
+}
--- /dev/null
+++ b/internal/member/claimer/claimer.go
@@ -0,0 +1,252 @@
+// Package claimer decides which partitions an entry claims. Entries agree only
+// through one record of the table service: whoever changes it does so on the
+// version it has read, so of two racing claims one fails and looks again.
+package claimer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
+)
+
+// Claimer is what one entry knows of the assignment. It is not safe for use by
+// several goroutines at once. The exported fields are set before use.
+type Claimer struct {
+	Self       identifier.Entry
+	Member     Member
+	Partitions int
+	// Silence is how long another entry may be unheard before it counts as dead.
+	Silence time.Duration
+
+	assignment Assignment
+	version    uint64
+	joined     bool
+	leaving    bool
+	heard      map[identifier.Entry]time.Time
+	owned      map[identifier.Partition]identifier.Epoch
+}
+
+// Change is what a reading of the assignment means for this entry.
+type Change struct {
+	// Claimed partitions are owned now and were not before, or not under this
+	// epoch.
+	Claimed []Claimed
+	// Lost partitions have another owner now.
+	Lost []identifier.Partition
+}
+
+// Claimed is a partition that is owned now.
+type Claimed struct {
+	starter.Claim
+
+	// Fresh means that no other process has ever owned the partition.
+	Fresh bool
+}
+
+// Join sets the incarnation under which the entry will join, from the last known
+// one of its name.
+func (c *Claimer) Join(now time.Time, last identifier.Incarnation) {
+	c.Member.Incarnation = identifier.NextIncarnation(now, last)
+}
+
+// Leave makes the entry give its partitions to others.
+func (c *Claimer) Leave() {
+	c.leaving = true
+}
+
+// Heard notes a sign of life from another entry.
+func (c *Claimer) Heard(now time.Time, entry identifier.Entry) {
+	if c.heard == nil {
+		c.heard = make(map[identifier.Entry]time.Time)
+	}
+	c.heard[entry] = now
+}
+
+// Observe takes a reading of the assignment. Older readings than the newest one
+// are ignored, and not reported as fresh.
+func (c *Claimer) Observe(now time.Time, a Assignment, version uint64) (change Change, fresh bool) {
+	if version < c.version {
+		return Change{}, false
+	}
+	for name := range a.Entries {
+		if _, known := c.heard[name]; !known {
+			c.Heard(now, name)
+		}
+	}
+	c.assignment, c.version = a, version
+	c.joined = a.Entries[c.Self].Incarnation == c.Member.Incarnation
+	return c.compare(), true
+}
+
+// compare updates what is owned from the assignment.
+func (c *Claimer) compare() Change {
+	var change Change
+	owned := make(map[identifier.Partition]identifier.Epoch)
+	for i, o := range c.assignment.Partitions {
+		p := identifier.Partition(i)
+		if !o.Owns(c.Self, c.Member.Incarnation) {
+			continue
+		}
+		owned[p] = o.Epoch
+		if c.owned[p] != o.Epoch {
+			claim := starter.Claim{Partition: p, Epoch: o.Epoch}
+			change.Claimed = append(change.Claimed, Claimed{claim, o.Epoch == 1})
+		}
+	}
+	for p, epoch := range c.owned {
+		if owned[p] != epoch {
+			change.Lost = append(change.Lost, p)
+		}
+	}
+	slices.Sort(change.Lost)
+	c.owned = owned
+	return change
+}
+
+// Plan returns the assignment that this entry wants, and whether it differs from
+// the one that was read. The write must be conditional on Version.
+func (c *Claimer) Plan(now time.Time) (Assignment, bool) {
+	next := c.assignment.clone()
+	for len(next.Partitions) < c.Partitions {
+		next.Partitions = append(next.Partitions, Ownership{})
+	}
+	changed := c.planMembership(&next)
+	if c.leaving {
+		return next, changed
+	}
+	live := c.live(now, &next)
+	changed = c.planOrphans(&next, live) || changed
+	changed = c.planBalance(&next, live) || changed
+	changed = c.planRemoval(now, &next) || changed
+	return next, changed
+}
+
+// Version is the version of the assignment that was read, zero for none.
+func (c *Claimer) Version() uint64 {
+	return c.version
+}
+
+// Assignment returns the newest reading.
+func (c *Claimer) Assignment() Assignment {
+	return c.assignment
+}
+
+// Owner returns the owner of a partition in the newest reading, empty for none.
+func (c *Claimer) Owner(p identifier.Partition) identifier.Entry {
+	if int(p) >= len(c.assignment.Partitions) {
+		return ""
+	}
+	return c.assignment.Partitions[p].Owner
+}
+
+// Joined reports whether the newest reading lists this incarnation of the entry.
+func (c *Claimer) Joined() bool {
+	return c.joined
+}
+
+// Accompanied reports whether another entry could take over the partitions.
+func (c *Claimer) Accompanied(now time.Time) bool {
+	for _, name := range c.live(now, &c.assignment) {
+		if name != c.Self {
+			return true
+		}
+	}
+	return false
+}
+
+// Owned returns how many partitions this entry owns.
+func (c *Claimer) Owned() int {
+	return len(c.owned)
+}
+
+func (c *Claimer) planMembership(next *Assignment) bool {
+	m := c.Member
+	m.Leaving = c.leaving
+	if next.Entries[c.Self] == m {
+		return false
+	}
+	next.Entries[c.Self] = m
+	return true
+}
+
+// live returns the entries that take part in the sharing, in the order of their
+// names.
+func (c *Claimer) live(now time.Time, a *Assignment) []identifier.Entry {
+	var live []identifier.Entry
+	for _, name := range a.Names() {
+		if c.alive(now, name) && !a.Entries[name].Leaving {
+			live = append(live, name)
+		}
+	}
+	return live
+}
+
+func (c *Claimer) alive(now time.Time, name identifier.Entry) bool {
+	return name == c.Self || now.Sub(c.heard[name]) < c.Silence
+}
+
+// planOrphans takes this entry's part of the partitions whose owner is gone. The
+// orphans are dealt out in turn, so that entries with the same view of who is
+// alive do not race for them.
+func (c *Claimer) planOrphans(next *Assignment, live []identifier.Entry) bool {
+	changed := false
+	turn := 0
+	for i, o := range next.Partitions {
+		m, known := next.Entries[o.Owner]
+		if known && m.Incarnation == o.Incarnation && slices.Contains(live, o.Owner) {
+			continue
+		}
+		if live[turn%len(live)] == c.Self {
+			next.Partitions[i] = c.claim(o)
+			changed = true
+		}
+		turn++
+	}
+	return changed
+}
+
+// planBalance takes partitions from entries that have more than their part, when
+// this entry has less.
+func (c *Claimer) planBalance(next *Assignment, live []identifier.Entry) bool {
+	counts := make(map[identifier.Entry]int)
+	for _, o := range next.Partitions {
+		counts[o.Owner]++
+	}
+	least := len(next.Partitions) / len(live)
+	changed := false
+	for i, o := range next.Partitions {
+		if counts[c.Self] >= least {
+			break
+		}
+		if o.Owner == c.Self || counts[o.Owner] <= least || !slices.Contains(live, o.Owner) {
+			continue
+		}
+		counts[o.Owner]--
+		counts[c.Self]++
+		next.Partitions[i] = c.claim(o)
+		changed = true
+	}
+	return changed
+}
+
+// planRemoval removes the entries that are dead and own nothing any more.
+func (c *Claimer) planRemoval(now time.Time, next *Assignment) bool {
+	owns := make(map[identifier.Entry]bool)
+	for _, o := range next.Partitions {
+		owns[o.Owner] = true
+	}
+	changed := false
+	for _, name := range next.Names() {
+		if !owns[name] && !c.alive(now, name) {
+			delete(next.Entries, name)
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (c *Claimer) claim(before Ownership) Ownership {
+	return Ownership{Owner: c.Self, Incarnation: c.Member.Incarnation, Epoch: before.Epoch + 1}
+}
--- /dev/null
+++ b/internal/member/sealer/sealer.go
@@ -0,0 +1,90 @@
+// Package sealer follows a takeover: which agents have sealed the epochs of the
+// earlier owner, which are known to be gone, and when the partitions may be
+// served.
+package sealer
+
+import (
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+)
+
+// Takeover is one claim of some partitions. It is not safe for use by several
+// goroutines at once.
+type Takeover struct {
+	Claims []starter.Claim
+
+	// silentAt is when an agent that has not answered can no longer start work
+	// for the earlier owner.
+	silentAt time.Time
+	missing  map[identifier.Agent]identifier.Incarnation
+	// cautious means that the record of some agent is lost.
+	cautious bool
+}
+
+// New begins a takeover of claims that were observed in the table service at now.
+// The roster must have been read after the claims were written: an agent that
+// registers later reads the claims itself. Tenure is the longest that the
+// earlier owner can have been confirmed for, with an allowance for clock drift.
+func New(now time.Time, claims []starter.Claim, roster []announcer.Member, tenure, retention time.Duration) *Takeover {
+	t := &Takeover{
+		Claims:   claims,
+		silentAt: now.Add(tenure),
+		missing:  make(map[identifier.Agent]identifier.Incarnation),
+	}
+	for _, m := range roster {
+		if m.Replaced && now.Sub(m.Registered) < retention {
+			t.cautious = true
+		}
+		if m.Left.IsZero() {
+			t.missing[m.Agent] = m.Incarnation
+		} else if now.Sub(m.Left) < retention {
+			t.cautious = true
+		}
+	}
+	return t
+}
+
+// Linked returns the seal to send to an agent that is linked now, or nil when it
+// need not be asked.
+func (t *Takeover) Linked(agent identifier.Agent, incarnation identifier.Incarnation) *starter.Seal {
+	wanted, missing := t.missing[agent]
+	if !missing || incarnation < wanted {
+		return nil
+	}
+	if incarnation > wanted {
+		delete(t.missing, agent)
+		t.cautious = true
+		return nil
+	}
+	return &starter.Seal{Incarnation: incarnation, Claims: t.Claims}
+}
+
+// Sealed notes that an agent has sealed, and reports whether that was awaited.
+func (t *Takeover) Sealed(agent identifier.Agent, m *starter.Sealed) bool {
+	wanted, missing := t.missing[agent]
+	if !missing || wanted != m.Incarnation || len(m.Claims) != len(t.Claims) {
+		return false
+	}
+	for i, c := range m.Claims {
+		if c != t.Claims[i] {
+			return false
+		}
+	}
+	delete(t.missing, agent)
+	return true
+}
+
+// Done reports whether the partitions may be served, and whether the record of
+// some agent is lost.
+func (t *Takeover) Done(now time.Time) (done, cautious bool) {
+	if len(t.missing) == 0 {
+		return true, t.cautious
+	}
+	if now.Before(t.silentAt) {
+		return false, false
+	}
+	return true, true
+}
