--- /dev/null
+++ b/internal/config/loader/loader.go
@@ -0,0 +1,96 @@
+// Package loader reads the settings file of a process. Each role has its own
+// fields; every field has a checked range, and a default unless only the operator
+// can know it.
+package loader
+
+import (
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/config/checker"
+)
+
+// Role names the kind of process that a settings file is for.
+type Role string
+
+// The roles with a settings file.
+const (
+	RoleEntry    Role = "entry"
+	RoleAgent    Role = "agent"
+	RolePlatform Role = "platform"
+	RoleBackend  Role = "backend"
+)
+
+// Settings are the settings of one role.
+type Settings interface {
+	// Fields describes the settings file, with the receiver's variables.
+	Fields() checker.Object
+	// Relations are the conditions on several fields.
+	Relations() []checker.Relation
+	// Role returns the role that the file must name.
+	Role() Role
+}
+
+// roleField is the field that every settings file has.
+const roleField = "role"
+
+// Load reads the named file into settings, which holds the defaults.
+func Load(file string, settings Settings) error {
+	src, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read the settings; name a file that exists")
+	}
+	return Parse(file, src, settings).Err()
+}
+
+// Parse reads src, the content of the named file, into settings.
+func Parse(file string, src []byte, settings Settings) checker.Faults {
+	var role string
+	fields := append(checker.Object{
+		checker.Require(checker.OneOf(roleField, &role, []string{string(settings.Role())}, "the kind of process that the file is for")),
+	}, settings.Fields()...)
+	return checker.Check(file, src, fields, settings.Relations()...)
+}
+
+// Check finds the faults of a settings file of any role.
+func Check(file string) error {
+	src, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read the settings; name a file that exists")
+	}
+	for _, s := range []Settings{DefaultEntry(), DefaultAgent(), DefaultPlatform(), DefaultBackend()} {
+		faults := Parse(file, src, s)
+		if !otherRole(faults) {
+			return faults.Err()
+		}
+	}
+	return unknownRole(file, src)
+}
+
+// otherRole reports whether the file names another role than it was read for, or
+// none.
+func otherRole(faults checker.Faults) bool {
+	for _, f := range faults {
+		if f.Path == roleField {
+			return true
+		}
+	}
+	return false
+}
+
+func unknownRole(file string, src []byte) error {
+	var role string
+	roles := []string{string(RoleEntry), string(RoleAgent), string(RolePlatform), string(RoleBackend)}
+	faults := checker.Check(file, src, checker.Object{
+		checker.Require(checker.OneOf(roleField, &role, roles, "the kind of process that the file is for")),
+	})
+	var kept checker.Faults
+	for _, f := range faults {
+		if f.Path == roleField || strings.HasPrefix(f.Problem, "invalid") {
+			kept = append(kept, f)
+		}
+	}
+	return kept.Err()
+}
--- /dev/null
+++ b/internal/front/listener/idler.go
@@ -0,0 +1,120 @@
+package listener
+
+import (
+	"io"
+	"net"
+	"sync"
+)
+
+// idler is a listener that knows which of its connections are idle, so that a
+// stop can close those at once and leave the others to finish. A connection is
+// idle from the moment the server reads for the next request until the first
+// byte of that request has come.
+type idler struct {
+	net.Listener
+
+	mu       sync.Mutex
+	stopping bool
+	conns    map[*idleConn]bool
+	// empty is closed when the listener is stopping and has no connections left.
+	empty chan struct{}
+}
+
+func newIdler(ln net.Listener) *idler {
+	return &idler{Listener: ln, conns: make(map[*idleConn]bool), empty: make(chan struct{})}
+}
+
+// Accept returns the next connection.
+func (l *idler) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &idleConn{Conn: conn, owner: l, idle: true}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = true
+	return c, nil
+}
+
+// stop closes the idle connections now and each other one when it gets idle. The
+// channel is closed when none is left.
+func (l *idler) stop() <-chan struct{} {
+	_ = l.Listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopping = true
+	for c := range l.conns {
+		if c.idle {
+			_ = c.Conn.Close()
+		}
+	}
+	l.checkEmpty()
+	return l.empty
+}
+
+func (l *idler) checkEmpty() {
+	if !l.stopping || len(l.conns) > 0 {
+		return
+	}
+	select {
+	case <-l.empty:
+	default:
+		close(l.empty)
+	}
+}
+
+type idleConn struct {
+	net.Conn
+
+	owner *idler
+	idle  bool
+	wrote bool
+}
+
+// Read begins an idle time if a response was written before it, and ends it with
+// the first byte.
+func (c *idleConn) Read(b []byte) (int, error) {
+	if !c.beginRead() {
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.setIdle(false)
+	}
+	return n, err
+}
+
+// beginRead reports false when the connection is idle and the listener stops.
+func (c *idleConn) beginRead() bool {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.wrote {
+		c.idle, c.wrote = true, false
+	}
+	return !c.idle || !c.owner.stopping
+}
+
+func (c *idleConn) setIdle(idle bool) {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	c.idle = idle
+}
+
+// Write notes that a response is under way.
+func (c *idleConn) Write(b []byte) (int, error) {
+	c.owner.mu.Lock()
+	c.wrote = true
+	c.owner.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// Close closes the connection and forgets it.
+func (c *idleConn) Close() error {
+	err := c.Conn.Close()
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	delete(c.owner.conns, c)
+	c.owner.checkEmpty()
+	return err
+}
--- /dev/null
+++ b/internal/front/listener/listener.go
@@ -0,0 +1,78 @@
+// Package listener makes the HTTP servers of all roles alike: one task for each
+// connection, and a stop that cuts off no request in flight.
+package listener
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/pkg/errors"
+)
+
+// MaxBody is the largest body of a request, in bytes.
+const MaxBody = 4 << 20
+
+// exitWait bounds how long a stop waits for requests in flight.
+const exitWait = 60 * time.Second
+
+// idleTimeout is how long a connection without a request stays open.
+const idleTimeout = 60 * time.Second
+
+// Server is an HTTP server on one port.
+type Server struct {
+	*server.Hertz
+
+	conns *idler
+}
+
+// Listen opens a port.
+func Listen(addr netip.AddrPort) (net.Listener, error) {
+	ln, err := net.Listen("tcp", addr.String())
+	return ln, errors.Wrapf(err, "listen on %s; choose a free port in the settings", addr)
+}
+
+// Addr returns the address of an open port.
+func Addr(ln net.Listener) netip.AddrPort {
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// New returns a server on ln without routes.
+func New(ln net.Listener, more ...config.Option) *Server {
+	hlog.SetLevel(hlog.LevelFatal)
+	conns := newIdler(ln)
+	options := []config.Option{
+		server.WithListener(conns),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(MaxBody),
+		server.WithExitWaitTime(exitWait),
+		server.WithIdleTimeout(idleTimeout),
+		server.WithDisablePrintRoute(true),
+		server.WithHandleMethodNotAllowed(true),
+	}
+	return &Server{server.New(append(options, more...)...), conns}
+}
+
+// Run serves until ctx ends, then waits for the requests in flight.
+func (s *Server) Run(ctx context.Context) error {
+	ended := make(chan error, 1)
+	go func() { ended <- s.Hertz.Run() }()
+	select {
+	case err := <-ended:
+		return errors.Wrap(err, "serve HTTP")
+	case <-ctx.Done():
+	}
+	limit := time.NewTimer(exitWait)
+	defer limit.Stop()
+	select {
+	case <-s.conns.stop():
+		return nil
+	case <-limit.C:
+		return errors.Errorf("requests were still in flight %s after the stop; look for one that never ends", exitWait)
+	}
+}
--- /dev/null
+++ b/internal/front/server/server.go
@@ -0,0 +1,128 @@
+// Package server serves callers over HTTP. It reads requests, checks them against
+// templates and workspaces, and writes answers; what becomes of a job is decided
+// elsewhere.
+package server
+
+import (
+	"context"
+	_ "embed" // for the description of the interface
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	hertzserver "github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/config/loader"
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/core/refuser"
+	"github.com/dandeliongrade/dandeliongrade/internal/front/listener"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
+)
+
+// Description is the OpenAPI description of the interface.
+//
+//go:embed openapi.json
+var Description []byte
+
+// Jobs takes jobs and answers what became of them.
+type Jobs interface {
+	// Submit waits for the answer of a job.
+	Submit(ctx context.Context, job describer.Job) describer.Answer
+	// Inquire returns the answer of a job, or that it still runs. It cancels
+	// what has not started if told to.
+	Inquire(ctx context.Context, s identifier.Submission, cancel bool) (answer describer.Answer, running bool)
+}
+
+// Server serves callers. Its fields are set before use.
+type Server struct {
+	Jobs       Jobs
+	Clock      identifier.Clock
+	Templates  map[string]*loader.Template
+	Workspaces map[string]*loader.Workspace
+}
+
+// maxIDs is the largest number of identities in one request.
+const maxIDs = 1000
+
+// Run serves on ln until ctx ends, and cuts off no request in flight.
+func (s *Server) Run(ctx context.Context, ln net.Listener) error {
+	h := listener.New(ln, hertzserver.WithUseRawPath(true), hertzserver.WithUnescapePathValues(true))
+	h.POST("/v1/jobs", s.postJob)
+	h.GET("/v1/jobs/:key", s.getJob)
+	h.DELETE("/v1/jobs/:key", s.deleteJob)
+	h.POST("/v1/submission-ids", s.postIDs)
+	h.GET("/v1/openapi.json", func(_ context.Context, rc *app.RequestContext) {
+		rc.Data(consts.StatusOK, "application/json", Description)
+	})
+	h.NoRoute(func(_ context.Context, rc *app.RequestContext) {
+		writeProblem(rc, consts.StatusNotFound, badRequest("there is nothing at this path", "read GET /v1/openapi.json for the paths"))
+	})
+	h.NoMethod(func(_ context.Context, rc *app.RequestContext) {
+		writeProblem(rc, consts.StatusMethodNotAllowed, badRequest("the path does not take this method", "read GET /v1/openapi.json for the methods"))
+	})
+	return h.Run(ctx)
+}
+
+func (s *Server) postJob(ctx context.Context, rc *app.RequestContext) {
+	job, refusal := s.readJob(rc)
+	if refusal != nil {
+		writeRefusal(rc, refusal)
+		return
+	}
+	writeAnswer(rc, job.Submission, s.Jobs.Submit(ctx, job))
+}
+
+func (s *Server) getJob(ctx context.Context, rc *app.RequestContext) {
+	s.inquire(ctx, rc, false)
+}
+
+func (s *Server) deleteJob(ctx context.Context, rc *app.RequestContext) {
+	s.inquire(ctx, rc, true)
+}
+
+func (s *Server) inquire(ctx context.Context, rc *app.RequestContext, cancel bool) {
+	sub := identifier.Submission{Workspace: rc.Query("workspace"), Key: rc.Param("key")}
+	if s.Workspaces[sub.Workspace] == nil {
+		writeRefusal(rc, unknownWorkspace(sub.Workspace))
+		return
+	}
+	answer, running := s.Jobs.Inquire(ctx, sub, cancel)
+	if running {
+		rc.JSON(consts.StatusAccepted, jobBody{Workspace: sub.Workspace, Key: sub.Key, Status: statusRunning})
+		return
+	}
+	writeAnswer(rc, sub, answer)
+}
+
+func (s *Server) postIDs(_ context.Context, rc *app.RequestContext) {
+	count := 1
+	if text := rc.Query("count"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxIDs {
+			writeRefusal(rc, badRequest("count is not a number from 1 to "+strconv.Itoa(maxIDs), "ask for fewer at a time"))
+			return
+		}
+		count = n
+	}
+	keys := make([]string, count)
+	for i := range keys {
+		key, err := identifier.Mint(s.Clock())
+		if err != nil {
+			writeProblem(rc, consts.StatusInternalServerError, badRequest(err.Error(), "try again"))
+			return
+		}
+		keys[i] = key
+	}
+	rc.JSON(consts.StatusOK, idsBody{keys})
+}
+
+// retryAfter returns the whole seconds of d, at least one.
+func retryAfter(d time.Duration) string {
+	return strconv.Itoa(int(max((d+time.Second-1)/time.Second, 1)))
+}
+
+func badRequest(detail, remedy string) *refuser.Refusal {
+	return &refuser.Refusal{Kind: refuser.BadRequest, Detail: detail, Remedy: remedy, NotRun: true}
+}
--- /dev/null
+++ b/internal/platform/faker/store.go
@@ -0,0 +1,102 @@
+// Package faker is a stand-in for the platform's table service and object store,
+// for tests and trials. It keeps everything in memory, and fails on command: it
+// can be down, slow, or lose replies after a write took effect.
+package faker
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/platform/keeper"
+)
+
+// Store is the content of the table service and the object store. It is safe for
+// use by several goroutines at once. The zero value is empty.
+type Store struct {
+	mu      sync.Mutex
+	records map[string]keeper.Record
+	objects map[string]json.RawMessage
+	reads   uint64
+	writes  uint64
+}
+
+// Get returns one record.
+func (s *Store) Get(key string) (keeper.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	r, ok := s.records[key]
+	if !ok {
+		return keeper.Record{}, keeper.ErrNotFound
+	}
+	return r, nil
+}
+
+// Scan returns the records whose keys begin with prefix, in the order of the
+// keys.
+func (s *Store) Scan(prefix string) []keeper.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	found := []keeper.Record{}
+	for key, r := range s.records {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, r)
+		}
+	}
+	slices.SortFunc(found, func(a, b keeper.Record) int { return strings.Compare(a.Key, b.Key) })
+	return found
+}
+
+// Transact carries out t, or returns keeper.ErrConflict and changes nothing.
+func (s *Store) Transact(t keeper.Transaction) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range t.Writes {
+		if s.records[w.Key].Version != w.Expect {
+			return keeper.ErrConflict
+		}
+	}
+	if s.records == nil {
+		s.records = make(map[string]keeper.Record)
+	}
+	s.writes += uint64(len(t.Writes))
+	for _, w := range t.Writes {
+		if w.Value == nil {
+			delete(s.records, w.Key)
+			continue
+		}
+		s.records[w.Key] = keeper.Record{Key: w.Key, Value: w.Value, Version: w.Expect + 1, Token: t.Token}
+	}
+	return nil
+}
+
+// PutObject stores an object.
+func (s *Store) PutObject(name string, value json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects == nil {
+		s.objects = make(map[string]json.RawMessage)
+	}
+	s.objects[name] = value
+}
+
+// GetObject returns an object.
+func (s *Store) GetObject(name string) (json.RawMessage, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value, ok := s.objects[name]
+	if !ok {
+		return nil, keeper.ErrNotFound
+	}
+	return value, nil
+}
+
+// Traffic returns how many reads and writes have been served.
+func (s *Store) Traffic() (reads, writes uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.writes
+}
--- /dev/null
+++ b/internal/report/logger/logger.go
@@ -0,0 +1,23 @@
+// Package logger makes the logs of all processes alike: one line of key=value
+// pairs for each event.
+package logger
+
+import (
+	"io"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// New returns a logger that writes to w. The process and its name stand on every
+// line.
+func New(w io.Writer, role, name string) *zap.Logger {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.TimeKey = "time"
+	cfg.MessageKey = "event"
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), zapcore.InfoLevel)
+	return zap.New(core).With(zap.String("role", role), zap.String("name", name))
+}
