Run the whole path: entry, agent and the demonstration

Cause: the thin whole path comes first. Change: the entry and the agent as processes around the deciding slices, the commands, and demo, which runs every role in one process over loopback sockets.

--- /dev/null
+++ b/cmd/dandeliongrade/agent.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/agent/runner"
+	"github.com/dandeliongrade/dandeliongrade/internal/config/loader"
+	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
+)
+
+func agentCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "agent",
+		Usage:       "run tasks at the backend server on the same machine",
+		ArgsUsage:   "SETTINGS",
+		Description: "Example: dandeliongrade agent examples/agent-1.jsonc",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			file, err := one(cmd)
+			if err != nil {
+				return err
+			}
+			settings := loader.DefaultAgent()
+			if err := loader.Load(file, settings); err != nil {
+				return &usageError{err}
+			}
+			r, err := runner.New(settings, logger.New(os.Stderr, "agent", string(settings.Name)), time.Now)
+			if err != nil {
+				return err
+			}
+			return r.Run(ctx)
+		},
+	}
+}
--- /dev/null
+++ b/cmd/dandeliongrade/config.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/config/checker"
+	"github.com/dandeliongrade/dandeliongrade/internal/config/loader"
+)
+
+func configCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "config",
+		Usage:    "work with settings and declarations",
+		Commands: []*cli.Command{configCheckCommand()},
+	}
+}
+
+func configCheckCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "check",
+		Usage:       "find all faults of settings files",
+		ArgsUsage:   "FILE...",
+		Description: "Example: dandeliongrade config check examples/*.jsonc",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if !cmd.Args().Present() {
+				return &usageError{errors.Errorf("give at least one file; see %s --help", cmd.FullName())}
+			}
+			return checkFiles(cmd)
+		},
+	}
+}
+
+func checkFiles(cmd *cli.Command) error {
+	var all checker.Faults
+	for _, file := range cmd.Args().Slice() {
+		err := loader.Check(file)
+		var faults checker.Faults
+		if errors.As(err, &faults) {
+			all = append(all, faults...)
+			continue
+		}
+		if err != nil {
+			return &usageError{err}
+		}
+		fmt.Fprintf(cmd.Root().Writer, "%s: ok\n", file)
+	}
+	return all.Err()
+}
--- /dev/null
+++ b/cmd/dandeliongrade/demo.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/bench/demonstrator"
+	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
+)
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "demo",
+		Usage:       "run every role in this process and submit a job of 130 tasks",
+		Description: "Example: dandeliongrade demo --agents 11",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "entries", Usage: "how many entries, 1 to 8", Value: 2},
+			&cli.IntFlag{Name: "agents", Usage: "how many agents, 1 to 32, each with a backend server", Value: 3},
+			&cli.IntFlag{Name: "tasks", Usage: "how many tasks the job has, 1 to 130", Value: 130},
+			&cli.BoolFlag{Name: "log", Usage: "write the log of the roles to standard error"},
+		},
+		Action: demo,
+	}
+}
+
+func demo(ctx context.Context, cmd *cli.Command) error {
+	for flag, most := range map[string]int{"entries": 8, "agents": 32, "tasks": 130} {
+		if n := cmd.Int(flag); n < 1 || n > most {
+			return &usageError{errors.Errorf("--%s %d is out of range; choose from 1 to %d", flag, n, most)}
+		}
+	}
+	if cmd.Args().Present() {
+		return &usageError{errors.Errorf("there is no argument %q; see %s --help", cmd.Args().First(), cmd.FullName())}
+	}
+	out := io.Discard
+	if cmd.Bool("log") {
+		out = os.Stderr
+	}
+	plan := demonstrator.DefaultPlan(logger.New(out, "demo", "demo"), time.Now)
+	plan.Entries, plan.Agents = cmd.Int("entries"), cmd.Int("agents")
+	cell, err := demonstrator.Begin(ctx, plan)
+	if err != nil {
+		return err
+	}
+	summary, err := cell.Submit(ctx, cmd.Int("tasks"))
+	if closeErr := cell.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return err
+	}
+	summary.Print(cmd.Root().Writer)
+	if !summary.Complete || summary.Twice > 0 {
+		return errors.New("the demonstration failed; run it with --log")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/dandeliongrade/main.go
@@ -0,0 +1,91 @@
+// Command dandeliongrade is a dispatcher for sub-second tasks. One binary holds
+// every role; see docs/OPERATING.md.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/config/checker"
+)
+
+// The exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// usageError is a wrong flag, argument or setting.
+type usageError struct {
+	cause error
+}
+
+func (e *usageError) Error() string { return e.cause.Error() }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args)
+	stop()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, args []string) int {
+	err := root().Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var usage *usageError
+	var faults checker.Faults
+	if errors.As(err, &usage) || errors.As(err, &faults) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func root() *cli.Command {
+	c := &cli.Command{
+		Name:  "dandeliongrade",
+		Usage: "dispatch sub-second tasks: urgent first, each exactly once",
+		Commands: []*cli.Command{
+			entryCommand(), agentCommand(), platformCommand(), backendCommand(),
+			submitCommand(), configCommand(), demoCommand(), versionCommand(),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	refuseUnknown(c)
+	return c
+}
+
+// refuseUnknown makes c and its subcommands report wrong flags and arguments as
+// usage errors.
+func refuseUnknown(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+		return &usageError{errors.Errorf("%s; see %s --help", err, cmd.FullName())}
+	}
+	if c.Action == nil {
+		c.Action = func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return &usageError{errors.Errorf("there is no command %q; see %s --help", cmd.Args().First(), cmd.FullName())}
+			}
+			return cli.ShowSubcommandHelp(cmd)
+		}
+	}
+	for _, sub := range c.Commands {
+		refuseUnknown(sub)
+	}
+}
+
+// one returns the only argument, the name of a file.
+func one(cmd *cli.Command) (string, error) {
+	if cmd.Args().Len() != 1 {
+		return "", &usageError{errors.Errorf("give one settings file; see %s --help", cmd.FullName())}
+	}
+	return cmd.Args().First(), nil
+}
--- /dev/null
+++ b/internal/agent/runner/register.go
@@ -0,0 +1,134 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/claimer"
+	"github.com/dandeliongrade/dandeliongrade/internal/platform/keeper"
+)
+
+// registerPause is the wait before the table service is asked again.
+const registerPause = 200 * time.Millisecond
+
+// leaveTimeout bounds the try to record that the agent has left.
+const leaveTimeout = 2 * time.Second
+
+// register puts this incarnation on the roster and learns the entries. It waits
+// as long as the table service does not answer.
+//
+// The assignment is read after the roster record is written. A takeover claims
+// first and reads the roster then; so either it finds this agent and seals it, or
+// this agent finds the claim and fences itself.
+func (r *Runner) register(ctx context.Context) (announcer.Member, error) {
+	token := uuid.NewString()
+	var member announcer.Member
+	err := r.insist(ctx, func() (err error) {
+		member, err = r.tryRegister(ctx, token)
+		return err
+	})
+	if err != nil {
+		return member, err
+	}
+	return member, r.insist(ctx, func() error { return r.learn(ctx, member.Incarnation) })
+}
+
+// insist calls try until it succeeds or ctx ends.
+func (r *Runner) insist(ctx context.Context, try func() error) error {
+	for {
+		err := try()
+		if err == nil {
+			return nil
+		}
+		r.log.Warn("register_failed", zap.Error(err))
+		select {
+		case <-time.After(registerPause):
+		case <-ctx.Done():
+			return errors.Wrap(err, "stopped before the agent was registered")
+		}
+	}
+}
+
+// tryRegister writes the roster record, or finds that an earlier try with this
+// token did so although its reply was lost.
+func (r *Runner) tryRegister(ctx context.Context, token string) (announcer.Member, error) {
+	now := r.clock()
+	member := announcer.Member{
+		Agent:      r.settings.Name,
+		DataCentre: r.settings.DataCentre,
+		Rack:       r.settings.Rack,
+		Slots:      r.settings.Slots,
+		Registered: now,
+	}
+	before, err := r.table.Get(ctx, announcer.RecordKey(r.settings.Name))
+	if err != nil && !errors.Is(err, keeper.ErrNotFound) {
+		return member, err
+	}
+	var last announcer.Member
+	if err == nil {
+		if last, err = announcer.Parse(before.Value); err != nil {
+			return member, err
+		}
+		if before.Token == token {
+			return last, nil
+		}
+		member.Replaced = true
+	}
+	member.Incarnation = identifier.NextIncarnation(now, last.Incarnation)
+	return member, r.write(ctx, member, before.Version, token)
+}
+
+// write stores a roster record on the condition that it has the given version.
+func (r *Runner) write(ctx context.Context, member announcer.Member, expect uint64, token string) error {
+	value, err := member.Encode()
+	if err != nil {
+		return err
+	}
+	return r.table.Transact(ctx, keeper.Transaction{
+		Token:  token,
+		Writes: []keeper.Write{{Key: announcer.RecordKey(member.Agent), Value: value, Expect: expect}},
+	})
+}
+
+// learn reads the assignment for the fences and the entries to link to.
+func (r *Runner) learn(ctx context.Context, incarnation identifier.Incarnation) error {
+	record, err := r.table.Get(ctx, claimer.Key)
+	if err != nil {
+		return errors.Wrap(err, "read the assignment; start an entry")
+	}
+	a, err := claimer.Parse(record.Value)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.starter.Incarnation = incarnation
+	for i, o := range a.Partitions {
+		r.starter.Fence(o.Owner, starter.Claim{Partition: identifier.Partition(i), Epoch: o.Epoch})
+	}
+	r.log.Info("registered", zap.Uint64("incarnation", uint64(incarnation)), zap.Int("entries", len(a.Entries)))
+	r.follow(record.Version, a.Peers())
+	return nil
+}
+
+// recordLeave notes that the agent left with nothing running. When that fails,
+// a later takeover waits for it in vain, and no harm is done.
+func (r *Runner) recordLeave(member announcer.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	record, err := r.table.Get(ctx, announcer.RecordKey(member.Agent))
+	if err == nil {
+		member.Left = r.clock()
+		err = r.write(ctx, member, record.Version, uuid.NewString())
+	}
+	if err != nil {
+		r.log.Warn("leave_not_recorded", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/agent/runner/runner.go
@@ -0,0 +1,264 @@
+// Package runner is the agent as a process: it registers, links to every entry,
+// runs tasks at its backend server, and leaves in good order. What it may start
+// is decided in package starter, and whom it offers slots to in package offerer.
+package runner
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/config/loader"
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/front/listener"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/caller"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/offerer"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
+	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
+	"github.com/dandeliongrade/dandeliongrade/internal/platform/keeper"
+	"github.com/dandeliongrade/dandeliongrade/internal/report/meter"
+)
+
+// byeWait bounds how long a leaving agent waits for the entries to close their
+// links.
+const byeWait = time.Second
+
+// expirePause is the time between two sweeps for records that have expired.
+const expirePause = time.Second
+
+// Runner is one run of an agent.
+type Runner struct {
+	settings *loader.Agent
+	log      *zap.Logger
+	clock    identifier.Clock
+	table    *keeper.Client
+	caller   *caller.Caller
+	life     *drainer.Drainer
+	counters counters
+
+	mu       sync.Mutex
+	starter  starter.Starter
+	offerer  *offerer.Offerer
+	links    map[identifier.Entry]*connector.Link
+	sequence uint64
+	// version is that of the newest list of entries.
+	version uint64
+	wanted  chan []announcer.Peer
+	ended   chan ending
+	// unlinked holds a token after a link has ended.
+	unlinked chan struct{}
+}
+
+type counters struct {
+	started, refused, sent, received *metrics.Counter
+}
+
+// ending is the end of a call to the backend server.
+type ending struct {
+	task   identifier.Task
+	from   identifier.Entry
+	result describer.Result
+	err    error
+}
+
+// New returns an agent that has not begun.
+func New(settings *loader.Agent, log *zap.Logger, clock identifier.Clock) (*Runner, error) {
+	table, err := keeper.New(settings.Platform.Addr, settings.Platform.Timeout)
+	if err != nil {
+		return nil, err
+	}
+	c, err := caller.New(settings.Backend, settings.Connections)
+	if err != nil {
+		return nil, err
+	}
+	r := &Runner{
+		settings: settings,
+		log:      log,
+		clock:    clock,
+		table:    table,
+		caller:   c,
+		offerer:  offerer.New(settings.Slots),
+		links:    make(map[identifier.Entry]*connector.Link),
+		wanted:   make(chan []announcer.Peer, 1),
+		ended:    make(chan ending),
+		unlinked: make(chan struct{}, 1),
+	}
+	r.life = drainer.New(func(s drainer.Stage) { log.Info("stage", zap.String("stage", string(s))) })
+	r.starter.Retention = settings.Retention
+	return r, nil
+}
+
+// Run is the agent's life. It ends in good order when ctx does, and at once when
+// something fails that no waiting mends.
+func (r *Runner) Run(ctx context.Context) error {
+	admin, err := listener.Listen(r.settings.Admin)
+	if err != nil {
+		return err
+	}
+	return r.RunOn(ctx, admin)
+}
+
+// RunOn is Run with an open port for operators.
+func (r *Runner) RunOn(ctx context.Context, admin net.Listener) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	pages := r.pages()
+	served := make(chan error, 1)
+	go func() { served <- meter.Run(background, admin, pages) }()
+	member, err := r.register(ctx)
+	if err != nil {
+		return err
+	}
+	linked := make(chan struct{})
+	go func() {
+		connector.Keep(background, r.wanted, r.session)
+		close(linked)
+	}()
+	if err := r.life.Ready(); err != nil {
+		return err
+	}
+	r.serve(ctx)
+	r.drain()
+	r.sayBye(linked, stop)
+	r.recordLeave(member)
+	stop()
+	return errors.Wrap(<-served, "serve the operators' pages")
+}
+
+// serve handles the ends of tasks until ctx does.
+func (r *Runner) serve(ctx context.Context) {
+	ticker := time.NewTicker(expirePause)
+	defer ticker.Stop()
+	for {
+		select {
+		case e := <-r.ended:
+			r.end(e)
+		case <-ticker.C:
+			r.mu.Lock()
+			r.starter.Expire(r.clock())
+			r.mu.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// drain takes no more work and waits for what runs.
+func (r *Runner) drain() {
+	if err := r.life.Drain(); err != nil {
+		r.log.Error("life_cycle", zap.Error(err))
+	}
+	r.mu.Lock()
+	r.starter.Drain()
+	r.offerer.Drain()
+	running := r.starter.Running()
+	for _, entry := range r.offerer.Linked() {
+		r.send(entry, &offerer.Leave{Incarnation: r.starter.Incarnation})
+	}
+	r.mu.Unlock()
+	for running > 0 {
+		r.end(<-r.ended)
+		r.mu.Lock()
+		running = r.starter.Running()
+		r.mu.Unlock()
+	}
+}
+
+// sayBye tells every entry that nothing more will come, and waits until they
+// have closed their links.
+func (r *Runner) sayBye(linked <-chan struct{}, stop context.CancelFunc) {
+	if err := r.life.Drained(); err != nil {
+		r.log.Error("life_cycle", zap.Error(err))
+	}
+	r.mu.Lock()
+	for _, entry := range r.offerer.Linked() {
+		r.send(entry, &announcer.Bye{})
+	}
+	r.mu.Unlock()
+	limit := time.NewTimer(byeWait)
+	defer limit.Stop()
+	for r.linkCount() > 0 {
+		select {
+		case <-r.unlinked:
+			continue
+		case <-limit.C:
+		}
+		break
+	}
+	stop()
+	<-linked
+}
+
+func (r *Runner) linkCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.links)
+}
+
+// run calls the backend server and reports the end on r.ended. It is a task of
+// its own, and is not cut short when the agent drains.
+func (r *Runner) run(ctx context.Context, from identifier.Entry, m *starter.Start) {
+	result, err := r.caller.Call(ctx, m)
+	r.ended <- ending{m.Task, from, result, err}
+}
+
+func (r *Runner) end(e ending) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changes := r.offerer.End(e.from)
+	if errors.Is(e.err, caller.ErrUnreachable) {
+		to, m := r.starter.Undo(e.task)
+		m.Granted, changes = takeGrant(changes, to)
+		r.send(to, &m)
+	} else {
+		to := r.starter.End(e.task, e.result)
+		m := starter.Ended{Incarnation: r.starter.Incarnation, Task: e.task, Result: e.result}
+		m.Granted, changes = takeGrant(changes, to)
+		r.send(to, &m)
+	}
+	r.sendChanges(changes)
+}
+
+// takeGrant takes the grant to an entry out of changes, to travel with another
+// message.
+func takeGrant(changes []offerer.Change, to identifier.Entry) (int, []offerer.Change) {
+	for i, c := range changes {
+		if c.Entry == to {
+			changes[i].Grant = 0
+			return c.Grant, changes
+		}
+	}
+	return 0, changes
+}
+
+func (r *Runner) sendChanges(changes []offerer.Change) {
+	for _, c := range changes {
+		if c.Grant > 0 {
+			r.send(c.Entry, &offerer.Grant{Incarnation: r.starter.Incarnation, Slots: c.Grant})
+		}
+		if c.Recall > 0 {
+			r.send(c.Entry, &offerer.Recall{Incarnation: r.starter.Incarnation, Slots: c.Recall})
+		}
+	}
+}
+
+// send passes a message to an entry, if it is linked. What is lost here is asked
+// for when the entry is linked again.
+func (r *Runner) send(to identifier.Entry, message any) {
+	link := r.links[to]
+	if link == nil {
+		return
+	}
+	r.counters.sent.Inc()
+	if err := link.Send(message); err != nil {
+		r.log.Error("send_failed", zap.String("entry", string(to)), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/entry/runner/follow.go
@@ -0,0 +1,258 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
+	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/claimer"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/sealer"
+	"github.com/dandeliongrade/dandeliongrade/internal/platform/keeper"
+)
+
+// driftDivisor bounds how far two machines' clocks may drift apart during a
+// tenure: one part in this many.
+const driftDivisor = 20
+
+// raceRetries bounds how often a lost race for the assignment is run again at
+// once.
+const raceRetries = 5
+
+// follow reads the assignment again and again until ctx ends.
+func (r *Runner) follow(ctx context.Context) {
+	ticker := time.NewTicker(r.settings.Refresh)
+	defer ticker.Stop()
+	for {
+		if err := r.refresh(ctx); err != nil && ctx.Err() == nil {
+			r.log.Warn("assignment_unread", zap.Error(err))
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// refresh reads the assignment, and changes it if this entry wants another. What
+// a change achieved is known only from reading it back.
+func (r *Runner) refresh(ctx context.Context) error {
+	for range raceRetries {
+		claims, err := r.read(ctx)
+		if err != nil {
+			return err
+		}
+		if err := r.takeOver(ctx, claims); err != nil {
+			return err
+		}
+		written, err := r.write(ctx)
+		if err != nil && !errors.Is(err, keeper.ErrConflict) {
+			return err
+		}
+		if !written && err == nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// read confirms the tenure from one reading of the assignment, and returns the
+// partitions that were claimed and have to be taken over.
+func (r *Runner) read(ctx context.Context) ([]starter.Claim, error) {
+	sent := r.clock()
+	record, err := r.table.Get(ctx, claimer.Key)
+	if err != nil && !errors.Is(err, keeper.ErrNotFound) {
+		return nil, err
+	}
+	var a claimer.Assignment
+	if err == nil {
+		if a, err = claimer.Parse(record.Value); err != nil {
+			return nil, err
+		}
+	}
+	now := r.clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.claimer.Member.Incarnation == 0 {
+		r.claimer.Join(now, a.Entries[r.settings.Name].Incarnation)
+	}
+	before := r.claimer.Version()
+	change, fresh := r.claimer.Observe(now, a, record.Version)
+	if !fresh {
+		return nil, nil
+	}
+	for _, p := range change.Lost {
+		r.perform(r.owner.Lose(p))
+	}
+	claims := r.claim(now, change.Claimed)
+	if r.claimer.Joined() {
+		r.perform(r.owner.Confirm(now, sent.Add(r.settings.Tenure)))
+	}
+	if record.Version != before {
+		r.spread(record.Version, a.Peers())
+		r.announceMove()
+	}
+	return claims, nil
+}
+
+// claim begins to own partitions, and serves those that never had an owner.
+func (r *Runner) claim(now time.Time, claimed []claimer.Claimed) []starter.Claim {
+	var claims []starter.Claim
+	for _, c := range claimed {
+		r.owner.Claim(c.Claim)
+		if c.Fresh {
+			r.perform(r.owner.Serve(now, c.Claim, time.Time{}))
+			continue
+		}
+		claims = append(claims, c.Claim)
+	}
+	if len(claimed) > 0 {
+		r.log.Info("claimed", zap.Int("partitions", len(claimed)), zap.Int("sealing", len(claims)))
+	}
+	return claims
+}
+
+// spread tells entries and agents which entries there are.
+func (r *Runner) spread(version uint64, peers []announcer.Peer) {
+	select {
+	case <-r.wanted:
+	default:
+	}
+	r.wanted <- connector.Without(peers, r.settings.Name)
+	for name := range r.agents {
+		r.sendAgent(name, &announcer.Peers{Version: version, Entries: peers})
+	}
+}
+
+// write stores the assignment that this entry wants, and reports whether it
+// wanted another than it has read. A failed write may have taken effect.
+func (r *Runner) write(ctx context.Context) (bool, error) {
+	r.mu.Lock()
+	next, changed := r.claimer.Plan(r.clock())
+	version := r.claimer.Version()
+	r.mu.Unlock()
+	if !changed {
+		return false, nil
+	}
+	value, err := next.Encode()
+	if err != nil {
+		return true, err
+	}
+	return true, r.table.Transact(ctx, keeper.Transaction{
+		Token:  uuid.NewString(),
+		Writes: []keeper.Write{{Key: claimer.Key, Value: value, Expect: version}},
+	})
+}
+
+// takeOver reads the roster, after the claims were read back, and asks the agents
+// to seal them.
+func (r *Runner) takeOver(ctx context.Context, claims []starter.Claim) error {
+	if len(claims) > 0 {
+		r.mu.Lock()
+		r.unsealed = append(r.unsealed, claims...)
+		r.mu.Unlock()
+	}
+	if len(r.unsealed) == 0 {
+		return nil
+	}
+	records, err := r.table.Scan(ctx, announcer.Prefix)
+	if err != nil {
+		return errors.Wrap(err, "read the roster for a takeover")
+	}
+	roster, err := parseRoster(records)
+	if err != nil {
+		return err
+	}
+	now := r.clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tenure := r.settings.Tenure + r.settings.Tenure/driftDivisor
+	t := sealer.New(now, r.unsealed, roster, tenure, r.settings.Retention+r.settings.ClockBound)
+	r.unsealed = nil
+	r.takeovers = append(r.takeovers, t)
+	for name, a := range r.agents {
+		r.askSeal(t, name, a.incarnation)
+	}
+	r.checkTakeovers(now)
+	return nil
+}
+
+func parseRoster(records []keeper.Record) ([]announcer.Member, error) {
+	roster := make([]announcer.Member, 0, len(records))
+	for _, record := range records {
+		m, err := announcer.Parse(record.Value)
+		if err != nil {
+			return nil, err
+		}
+		roster = append(roster, m)
+	}
+	return roster, nil
+}
+
+func (r *Runner) askSeal(t *sealer.Takeover, agent identifier.Agent, incarnation identifier.Incarnation) {
+	if m := t.Linked(agent, incarnation); m != nil {
+		r.sendAgent(agent, m)
+	}
+}
+
+// checkTakeovers serves the partitions whose takeover is done.
+func (r *Runner) checkTakeovers(now time.Time) {
+	var open []*sealer.Takeover
+	for _, t := range r.takeovers {
+		done, cautious := t.Done(now)
+		if !done {
+			open = append(open, t)
+			continue
+		}
+		var cutoff time.Time
+		if cautious {
+			cutoff = now.Add(r.settings.ClockBound)
+		}
+		for _, c := range t.Claims {
+			r.perform(r.owner.Serve(now, c, cutoff))
+		}
+		r.log.Info("taken_over", zap.Int("partitions", len(t.Claims)), zap.Bool("cautious", cautious))
+	}
+	r.takeovers = open
+}
+
+// leave gives the partitions to other entries, and returns when none is left or
+// nobody takes them.
+func (r *Runner) leave() {
+	if err := r.life.Drain(); err != nil {
+		r.log.Error("life_cycle", zap.Error(err))
+	}
+	r.mu.Lock()
+	r.claimer.Leave()
+	r.mu.Unlock()
+	limit := time.NewTimer(r.leaveWait())
+	defer limit.Stop()
+	for {
+		r.mu.Lock()
+		left := r.claimer.Owned()
+		alone := !r.claimer.Accompanied(r.clock())
+		moved := r.moved
+		r.mu.Unlock()
+		if left == 0 || alone {
+			return
+		}
+		select {
+		case <-moved:
+		case <-limit.C:
+			return
+		}
+	}
+}
+
+// leaveWait is time for this entry to say that it leaves, for the others to see
+// it, and for this one to see that they have claimed.
+func (r *Runner) leaveWait() time.Duration {
+	return 4 * r.settings.Refresh
+}
--- /dev/null
+++ b/internal/entry/runner/links.go
@@ -0,0 +1,192 @@
+package runner
+
+import (
+	"context"
+	"net"
+
+	"go.uber.org/zap"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/offerer"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/owner"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
+	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+)
+
+// accept is the task of one connection that another process dialled.
+func (r *Runner) accept(ctx context.Context, conn net.Conn) {
+	r.mu.Lock()
+	welcome := announcer.Welcome{Entry: r.settings.Name, Incarnation: r.claimer.Member.Incarnation}
+	r.mu.Unlock()
+	link, hello, err := connector.Accept(conn, r.settings.Timing, welcome)
+	if err != nil {
+		_ = conn.Close()
+		r.log.Warn("link_refused", zap.String("from", conn.RemoteAddr().String()), zap.Error(err))
+		return
+	}
+	if hello.Agent != "" {
+		r.serveAgent(ctx, link, hello)
+		return
+	}
+	r.serveEntry(ctx, link, hello.Entry)
+}
+
+// serveAgent handles what an agent says until its link ends.
+func (r *Runner) serveAgent(ctx context.Context, link *connector.Link, hello announcer.Hello) {
+	r.linkAgent(link, hello)
+	err := link.Run(ctx, func(message any) error { return r.handleAgent(hello.Agent, link, message) })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.agents[hello.Agent].link == link {
+		delete(r.agents, hello.Agent)
+		r.owner.AgentLost(hello.Agent)
+	}
+	r.log.Info("agent_unlinked", zap.String("agent", string(hello.Agent)), zap.Error(err))
+}
+
+func (r *Runner) linkAgent(link *connector.Link, hello announcer.Hello) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.log.Info("agent_linked", zap.String("agent", string(hello.Agent)), zap.Uint64("incarnation", uint64(hello.Incarnation)))
+	if before := r.agents[hello.Agent]; before.link != nil {
+		before.link.Close()
+	}
+	r.agents[hello.Agent] = agentLink{link, hello.Incarnation}
+	a := r.claimer.Assignment()
+	r.sendOn(link, &announcer.Peers{Version: r.claimer.Version(), Entries: a.Peers()})
+	r.perform(r.owner.AgentLinked(hello.Agent, hello.Incarnation))
+	for _, t := range r.takeovers {
+		r.askSeal(t, hello.Agent, hello.Incarnation)
+	}
+}
+
+// handleAgent takes one message of an agent. A message on a link that has been
+// replaced is dropped.
+func (r *Runner) handleAgent(agent identifier.Agent, link *connector.Link, message any) error {
+	now := r.clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counters.received.Inc()
+	if r.agents[agent].link != link {
+		return nil
+	}
+	switch m := message.(type) {
+	case *announcer.Heartbeat:
+	case *starter.AskTenure:
+		r.sendOn(link, &starter.Tenure{Sequence: m.Sequence, Remaining: r.owner.Tenure(r.clock())})
+	case *starter.Ended:
+		r.perform(r.owner.Ended(now, agent, m))
+	case *starter.NotStarted:
+		r.perform(r.owner.NotStarted(now, agent, m))
+	case *starter.Revoked:
+		r.perform(r.owner.Revoked(now, agent, m))
+	case *starter.Sealed:
+		r.sealed(agent, m)
+	case *offerer.Grant:
+		r.perform(r.owner.Granted(now, agent, m))
+	case *offerer.Recall:
+		r.perform(r.owner.Recalled(agent, m))
+	case *offerer.Leave:
+		r.owner.Left(agent)
+	case *announcer.Bye:
+		link.Close()
+	default:
+		return &connector.UnexpectedError{Message: message}
+	}
+	return nil
+}
+
+func (r *Runner) sealed(agent identifier.Agent, m *starter.Sealed) {
+	for _, t := range r.takeovers {
+		if t.Sealed(agent, m) {
+			r.owner.Sealed(agent, m)
+		}
+	}
+	r.checkTakeovers(r.clock())
+}
+
+// serveEntry handles what another entry asks until its link ends.
+func (r *Runner) serveEntry(ctx context.Context, link *connector.Link, from identifier.Entry) {
+	r.mu.Lock()
+	if before := r.accepted[from]; before != nil {
+		before.Close()
+	}
+	r.accepted[from] = link
+	r.mu.Unlock()
+	err := link.Run(ctx, func(message any) error { return r.handleEntry(from, link, message) })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.accepted[from] == link {
+		delete(r.accepted, from)
+	}
+	r.log.Info("entry_unlinked", zap.String("entry", string(from)), zap.Error(err))
+}
+
+func (r *Runner) handleEntry(from identifier.Entry, link *connector.Link, message any) error {
+	now := r.clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counters.received.Inc()
+	r.claimer.Heard(now, from)
+	if r.accepted[from] != link {
+		return nil
+	}
+	switch m := message.(type) {
+	case *announcer.Heartbeat:
+	case *owner.Submit:
+		r.perform(r.owner.Submit(now, owner.Request{Entry: from, Sequence: m.Sequence}, m.Job))
+	case *owner.Inquire:
+		r.perform(r.owner.Inquire(now, owner.Request{Entry: from, Sequence: m.Sequence}, m.Submission, m.Cancel))
+	default:
+		return &connector.UnexpectedError{Message: message}
+	}
+	return nil
+}
+
+// session dials another entry and handles its replies until the link ends. It
+// reports whether the link was up.
+func (r *Runner) session(ctx context.Context, p announcer.Peer) bool {
+	hello := announcer.Hello{Entry: r.settings.Name}
+	link, welcome, err := connector.Dial(ctx, p.Link, r.settings.Timing, hello)
+	if err != nil {
+		return false
+	}
+	if welcome.Entry != p.Entry {
+		link.Close()
+		r.log.Warn("wrong_entry", zap.String("entry", string(p.Entry)), zap.String("answered", string(welcome.Entry)))
+		return false
+	}
+	r.setDialled(p.Entry, link)
+	err = link.Run(ctx, func(message any) error { return r.handleReply(p.Entry, message) })
+	r.setDialled(p.Entry, nil)
+	r.log.Info("entry_lost", zap.String("entry", string(p.Entry)), zap.Error(err))
+	return true
+}
+
+func (r *Runner) setDialled(entry identifier.Entry, link *connector.Link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if link == nil {
+		delete(r.dialled, entry)
+	} else {
+		r.dialled[entry] = link
+	}
+	r.announceMove()
+}
+
+func (r *Runner) handleReply(from identifier.Entry, message any) error {
+	now := r.clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counters.received.Inc()
+	r.claimer.Heard(now, from)
+	switch m := message.(type) {
+	case *announcer.Heartbeat:
+	case *owner.Reply:
+		r.requests.deliver(m)
+	default:
+		return &connector.UnexpectedError{Message: message}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/runner/pages.go
@@ -0,0 +1,66 @@
+package runner
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/job/owner"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
+	"github.com/dandeliongrade/dandeliongrade/internal/report/meter"
+)
+
+// counters are the metrics that are not read off the owner.
+type counters struct {
+	sent, received *metrics.Counter
+}
+
+// pages returns what operators see of the entry.
+func (r *Runner) pages() meter.Pages {
+	set := metrics.NewSet()
+	r.counters = counters{
+		sent:     set.NewCounter("dandeliongrade_entry_messages_sent_total"),
+		received: set.NewCounter("dandeliongrade_entry_messages_received_total"),
+	}
+	gauge := func(name string, read func() float64) {
+		set.NewGauge("dandeliongrade_entry_"+name, func() float64 {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return read()
+		})
+	}
+	count := func(name string, read func(*owner.Counters) uint64) {
+		gauge(name, func() float64 { return float64(read(&r.owner.Counters)) })
+	}
+	gauge("waiting_tasks", func() float64 { return float64(r.owner.Waiting()) })
+	gauge("identities", func() float64 { return float64(r.owner.Held()) })
+	gauge("slots", func() float64 { return float64(r.owner.Slots()) })
+	gauge("partitions", func() float64 { return float64(r.claimer.Owned()) })
+	gauge("agents", func() float64 { return float64(len(r.agents)) })
+	gauge("tenure_seconds", func() float64 { return r.owner.Tenure(r.clock()).Seconds() })
+	count("admitted_total", func(c *owner.Counters) uint64 { return c.Admitted })
+	count("joined_total", func(c *owner.Counters) uint64 { return c.Joined })
+	count("refused_total", func(c *owner.Counters) uint64 { return c.Refused })
+	count("completed_total", func(c *owner.Counters) uint64 { return c.Completed })
+	count("failed_total", func(c *owner.Counters) uint64 { return c.Failed })
+	count("starts_total", func(c *owner.Counters) uint64 { return c.Starts })
+	count("not_started_total", func(c *owner.Counters) uint64 { return c.NotStarted })
+	count("revokes_total", func(c *owner.Counters) uint64 { return c.Revokes })
+	count("wants_total", func(c *owner.Counters) uint64 { return c.Wants })
+	count("returns_total", func(c *owner.Counters) uint64 { return c.Returns })
+	return meter.Pages{Metrics: set, Ready: r.ready}
+}
+
+func (r *Runner) ready() error {
+	if stage := r.life.Stage(); stage != drainer.Serving {
+		return errors.Errorf("the entry is %s; send callers to another", stage)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.owner.Tenure(r.clock()) == 0 {
+		return errors.New("the tenure is not confirmed; check the table service")
+	}
+	if len(r.agents) == 0 {
+		return errors.New("no agent is linked; start an agent")
+	}
+	return nil
+}
