--- a/cmd/dandeliongrade/agent.go
+++ b/cmd/dandeliongrade/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/dandeliongrade/dandeliongrade/internal/agent/runner"
 	"github.com/dandeliongrade/dandeliongrade/internal/config/loader"
+	"github.com/dandeliongrade/dandeliongrade/internal/front/listener"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 )
 
@@ -27,11 +28,16 @@
 			if err := loader.Load(file, settings); err != nil {
 				return &usageError{err}
 			}
-			r, err := runner.New(settings, logger.New(os.Stderr, "agent", string(settings.Name)), time.Now)
+			admin, err := listener.Listen(settings.Admin)
 			if err != nil {
 				return err
 			}
-			return r.Run(ctx)
+			edges, err := runner.NewEdges(settings)
+			if err != nil {
+				return err
+			}
+			log := logger.New(os.Stderr, "agent", string(settings.Name))
+			return runner.New(settings, log, time.Now, edges).Serve(ctx, admin)
 		},
 	}
 }
--- a/cmd/dandeliongrade/entry.go
+++ b/cmd/dandeliongrade/entry.go
@@ -31,11 +31,12 @@
 			if err != nil {
 				return err
 			}
-			r, err := runner.New(settings, logger.New(os.Stderr, "entry", string(settings.Name)), time.Now)
+			edges, err := runner.NewEdges(settings)
 			if err != nil {
 				return err
 			}
-			return r.Run(ctx, ports)
+			log := logger.New(os.Stderr, "entry", string(settings.Name))
+			return runner.New(settings, log, time.Now, edges).Serve(ctx, ports)
 		},
 	}
 }
--- a/internal/agent/runner/pages.go
+++ b/internal/agent/runner/pages.go
@@ -1,6 +1,9 @@
 package runner
 
 import (
+	"context"
+	"net"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
@@ -8,15 +11,29 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/report/meter"
 )
 
+// Serve runs the agent together with its pages for operators on the port admin.
+func (r *Runner) Serve(ctx context.Context, admin net.Listener) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	served := make(chan error, 1)
+	go func() { served <- meter.Run(background, admin, r.pages()) }()
+	if err := r.Run(ctx); err != nil {
+		return err
+	}
+	stop()
+	return errors.Wrap(<-served, "serve the operators' pages")
+}
+
 // pages returns what operators see of the agent.
 func (r *Runner) pages() meter.Pages {
 	set := metrics.NewSet()
-	r.counters = counters{
-		started:  set.NewCounter("dandeliongrade_agent_starts_total"),
-		refused:  set.NewCounter("dandeliongrade_agent_refusals_total"),
-		sent:     set.NewCounter("dandeliongrade_agent_messages_sent_total"),
-		received: set.NewCounter("dandeliongrade_agent_messages_received_total"),
+	count := func(name string, c *metrics.Counter) {
+		set.NewGauge("dandeliongrade_agent_"+name+"_total", func() float64 { return float64(c.Get()) })
 	}
+	count("starts", &r.counters.started)
+	count("refusals", &r.counters.refused)
+	count("messages_sent", &r.counters.sent)
+	count("messages_received", &r.counters.received)
 	set.NewGauge("dandeliongrade_agent_running_tasks", func() float64 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/agent/runner/register.go
+++ b/internal/agent/runner/register.go
@@ -67,7 +67,7 @@
 		Slots:      r.settings.Slots,
 		Registered: now,
 	}
-	before, err := r.table.Get(ctx, announcer.RecordKey(r.settings.Name))
+	before, err := r.edges.Table.Get(ctx, announcer.RecordKey(r.settings.Name))
 	if err != nil && !errors.Is(err, keeper.ErrNotFound) {
 		return member, err
 	}
@@ -91,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	return r.table.Transact(ctx, keeper.Transaction{
+	return r.edges.Table.Transact(ctx, keeper.Transaction{
 		Token:  token,
 		Writes: []keeper.Write{{Key: announcer.RecordKey(member.Agent), Value: value, Expect: expect}},
 	})
@@ -99,7 +99,7 @@
 
 // learn reads the assignment for the fences and the entries to link to.
 func (r *Runner) learn(ctx context.Context, incarnation identifier.Incarnation) error {
-	record, err := r.table.Get(ctx, claimer.Key)
+	record, err := r.edges.Table.Get(ctx, claimer.Key)
 	if err != nil {
 		return errors.Wrap(err, "read the assignment; start an entry")
 	}
@@ -123,7 +123,7 @@
 func (r *Runner) recordLeave(member announcer.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	record, err := r.table.Get(ctx, announcer.RecordKey(member.Agent))
+	record, err := r.edges.Table.Get(ctx, announcer.RecordKey(member.Agent))
 	if err == nil {
 		member.Left = r.clock()
 		err = r.write(ctx, member, record.Version, uuid.NewString())
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -15,7 +14,6 @@
 
 	"github.com/dandeliongrade/dandeliongrade/internal/config/loader"
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
-	"github.com/dandeliongrade/dandeliongrade/internal/front/listener"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/caller"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/offerer"
@@ -24,7 +22,6 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
 	"github.com/dandeliongrade/dandeliongrade/internal/platform/keeper"
-	"github.com/dandeliongrade/dandeliongrade/internal/report/meter"
 )
 
 // byeWait bounds how long a leaving agent waits for the entries to close their
@@ -34,13 +31,41 @@
 // expirePause is the time between two sweeps for records that have expired.
 const expirePause = time.Second
 
+// Table is the platform's table service.
+type Table interface {
+	Get(ctx context.Context, key string) (keeper.Record, error)
+	Transact(ctx context.Context, t keeper.Transaction) error
+}
+
+// Backend is the backend server beside the agent. Call runs a task; only
+// caller.ErrUnreachable means that the task was not started.
+type Backend interface {
+	Call(ctx context.Context, m *starter.Start) (describer.Result, error)
+}
+
+// Edges are what an agent touches outside itself.
+type Edges struct {
+	Table   Table
+	Backend Backend
+	Dial    connector.DialFunc
+}
+
+// NewEdges returns the edges that the settings name.
+func NewEdges(settings *loader.Agent) (Edges, error) {
+	table, err := keeper.New(settings.Platform.Addr, settings.Platform.Timeout)
+	if err != nil {
+		return Edges{}, err
+	}
+	c, err := caller.New(settings.Backend, settings.Connections)
+	return Edges{Table: table, Backend: c, Dial: connector.DialTCP}, err
+}
+
 // Runner is one run of an agent.
 type Runner struct {
 	settings *loader.Agent
 	log      *zap.Logger
 	clock    identifier.Clock
-	table    *keeper.Client
-	caller   *caller.Caller
+	edges    Edges
 	life     *drainer.Drainer
 	counters counters
 
@@ -58,7 +83,7 @@
 }
 
 type counters struct {
-	started, refused, sent, received *metrics.Counter
+	started, refused, sent, received metrics.Counter
 }
 
 // ending is the end of a call to the backend server.
@@ -70,21 +95,12 @@
 }
 
 // New returns an agent that has not begun.
-func New(settings *loader.Agent, log *zap.Logger, clock identifier.Clock) (*Runner, error) {
-	table, err := keeper.New(settings.Platform.Addr, settings.Platform.Timeout)
-	if err != nil {
-		return nil, err
-	}
-	c, err := caller.New(settings.Backend, settings.Connections)
-	if err != nil {
-		return nil, err
-	}
+func New(settings *loader.Agent, log *zap.Logger, clock identifier.Clock, edges Edges) *Runner {
 	r := &Runner{
 		settings: settings,
 		log:      log,
 		clock:    clock,
-		table:    table,
-		caller:   c,
+		edges:    edges,
 		offerer:  offerer.New(settings.Slots),
 		links:    make(map[identifier.Entry]*connector.Link),
 		wanted:   make(chan []announcer.Peer, 1),
@@ -93,26 +109,14 @@
 	}
 	r.life = drainer.New(func(s drainer.Stage) { log.Info("stage", zap.String("stage", string(s))) })
 	r.starter.Retention = settings.Retention
-	return r, nil
+	return r
 }
 
 // Run is the agent's life. It ends in good order when ctx does, and at once when
 // something fails that no waiting mends.
 func (r *Runner) Run(ctx context.Context) error {
-	admin, err := listener.Listen(r.settings.Admin)
-	if err != nil {
-		return err
-	}
-	return r.RunOn(ctx, admin)
-}
-
-// RunOn is Run with an open port for operators.
-func (r *Runner) RunOn(ctx context.Context, admin net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	pages := r.pages()
-	served := make(chan error, 1)
-	go func() { served <- meter.Run(background, admin, pages) }()
 	member, err := r.register(ctx)
 	if err != nil {
 		return err
@@ -129,8 +133,7 @@
 	r.drain()
 	r.sayBye(linked, stop)
 	r.recordLeave(member)
-	stop()
-	return errors.Wrap(<-served, "serve the operators' pages")
+	return nil
 }
 
 // serve handles the ends of tasks until ctx does.
@@ -206,7 +209,7 @@
 // run calls the backend server and reports the end on r.ended. It is a task of
 // its own, and is not cut short when the agent drains.
 func (r *Runner) run(ctx context.Context, from identifier.Entry, m *starter.Start) {
-	result, err := r.caller.Call(ctx, m)
+	result, err := r.edges.Backend.Call(ctx, m)
 	r.ended <- ending{m.Task, from, result, err}
 }
 
--- a/internal/agent/runner/session.go
+++ b/internal/agent/runner/session.go
@@ -16,7 +16,7 @@
 // reports whether the link was up.
 func (r *Runner) session(ctx context.Context, p announcer.Peer) bool {
 	hello := announcer.Hello{Agent: r.settings.Name, Incarnation: r.starter.Incarnation}
-	link, welcome, err := connector.Dial(ctx, p.Link, r.settings.Timing, hello)
+	link, welcome, err := connector.Dial(ctx, r.edges.Dial, p.Link, r.settings.Timing, hello)
 	if err != nil {
 		if ctx.Err() == nil {
 			r.log.Warn("dial_failed", zap.String("entry", string(p.Entry)), zap.Error(err))
--- a/internal/bench/demonstrator/cell.go
+++ b/internal/bench/demonstrator/cell.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"strconv"
 
@@ -88,11 +87,12 @@
 	}
 	settings.Link = listener.Addr(ports.Link)
 	c.Callers = append(c.Callers, listener.Addr(ports.Callers))
-	r, err := entry.New(&settings, c.plan.Log, c.plan.Clock)
+	edges, err := entry.NewEdges(&settings)
 	if err != nil {
 		return err
 	}
-	c.run(ctx, func(ctx context.Context) error { return r.Run(ctx, ports) })
+	r := entry.New(&settings, c.plan.Log, c.plan.Clock, edges)
+	c.run(ctx, func(ctx context.Context) error { return r.Serve(ctx, ports) })
 	return nil
 }
 
@@ -113,15 +113,16 @@
 	settings.Rack = "rack-" + strconv.Itoa(i/3+1)
 	settings.Platform.Addr = c.platform
 	settings.Backend = listener.Addr(ln)
-	r, err := agent.New(&settings, c.plan.Log, c.plan.Clock)
+	edges, err := agent.NewEdges(&settings)
 	if err != nil {
 		return err
 	}
-	var admin net.Listener
-	if admin, err = listener.Listen(loopback); err != nil {
+	admin, err := listener.Listen(loopback)
+	if err != nil {
 		return err
 	}
-	c.run(ctx, func(ctx context.Context) error { return r.RunOn(ctx, admin) })
+	r := agent.New(&settings, c.plan.Log, c.plan.Clock, edges)
+	c.run(ctx, func(ctx context.Context) error { return r.Serve(ctx, admin) })
 	return nil
 }
 
--- a/internal/entry/runner/follow.go
+++ b/internal/entry/runner/follow.go
@@ -67,7 +67,7 @@
 // partitions that were claimed and have to be taken over.
 func (r *Runner) read(ctx context.Context) ([]starter.Claim, error) {
 	sent := r.clock()
-	record, err := r.table.Get(ctx, claimer.Key)
+	record, err := r.edges.Table.Get(ctx, claimer.Key)
 	if err != nil && !errors.Is(err, keeper.ErrNotFound) {
 		return nil, err
 	}
@@ -145,7 +145,7 @@
 	if err != nil {
 		return true, err
 	}
-	return true, r.table.Transact(ctx, keeper.Transaction{
+	return true, r.edges.Table.Transact(ctx, keeper.Transaction{
 		Token:  uuid.NewString(),
 		Writes: []keeper.Write{{Key: claimer.Key, Value: value, Expect: version}},
 	})
@@ -162,7 +162,7 @@
 	if len(r.unsealed) == 0 {
 		return nil
 	}
-	records, err := r.table.Scan(ctx, announcer.Prefix)
+	records, err := r.edges.Table.Scan(ctx, announcer.Prefix)
 	if err != nil {
 		return errors.Wrap(err, "read the roster for a takeover")
 	}
--- a/internal/entry/runner/links.go
+++ b/internal/entry/runner/links.go
@@ -148,7 +148,7 @@
 // reports whether the link was up.
 func (r *Runner) session(ctx context.Context, p announcer.Peer) bool {
 	hello := announcer.Hello{Entry: r.settings.Name}
-	link, welcome, err := connector.Dial(ctx, p.Link, r.settings.Timing, hello)
+	link, welcome, err := connector.Dial(ctx, r.edges.Dial, p.Link, r.settings.Timing, hello)
 	if err != nil {
 		return false
 	}
--- a/internal/entry/runner/pages.go
+++ b/internal/entry/runner/pages.go
@@ -11,16 +11,12 @@
 
 // counters are the metrics that are not read off the owner.
 type counters struct {
-	sent, received *metrics.Counter
+	sent, received metrics.Counter
 }
 
 // pages returns what operators see of the entry.
 func (r *Runner) pages() meter.Pages {
 	set := metrics.NewSet()
-	r.counters = counters{
-		sent:     set.NewCounter("dandeliongrade_entry_messages_sent_total"),
-		received: set.NewCounter("dandeliongrade_entry_messages_received_total"),
-	}
 	gauge := func(name string, read func() float64) {
 		set.NewGauge("dandeliongrade_entry_"+name, func() float64 {
 			r.mu.Lock()
@@ -31,6 +27,8 @@
 	count := func(name string, read func(*owner.Counters) uint64) {
 		gauge(name, func() float64 { return float64(read(&r.owner.Counters)) })
 	}
+	gauge("messages_sent_total", func() float64 { return float64(r.counters.sent.Get()) })
+	gauge("messages_received_total", func() float64 { return float64(r.counters.received.Get()) })
 	gauge("waiting_tasks", func() float64 { return float64(r.owner.Waiting()) })
 	gauge("identities", func() float64 { return float64(r.owner.Held()) })
 	gauge("slots", func() float64 { return float64(r.owner.Slots()) })
--- a/internal/entry/runner/runner.go
+++ b/internal/entry/runner/runner.go
@@ -9,13 +9,10 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/config/loader"
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
-	"github.com/dandeliongrade/dandeliongrade/internal/front/listener"
-	"github.com/dandeliongrade/dandeliongrade/internal/front/server"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/owner"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
@@ -24,18 +21,36 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/sealer"
 	"github.com/dandeliongrade/dandeliongrade/internal/platform/keeper"
-	"github.com/dandeliongrade/dandeliongrade/internal/report/meter"
 )
 
 // tickPause is the time between two looks at deadlines and takeovers.
 const tickPause = 50 * time.Millisecond
 
+// Table is the platform's table service.
+type Table interface {
+	Get(ctx context.Context, key string) (keeper.Record, error)
+	Scan(ctx context.Context, prefix string) ([]keeper.Record, error)
+	Transact(ctx context.Context, t keeper.Transaction) error
+}
+
+// Edges are what an entry touches outside itself.
+type Edges struct {
+	Table Table
+	Dial  connector.DialFunc
+}
+
+// NewEdges returns the edges that the settings name.
+func NewEdges(settings *loader.Entry) (Edges, error) {
+	table, err := keeper.New(settings.Platform.Addr, settings.Platform.Timeout)
+	return Edges{Table: table, Dial: connector.DialTCP}, err
+}
+
 // Runner is one run of an entry.
 type Runner struct {
 	settings *loader.Entry
 	log      *zap.Logger
 	clock    identifier.Clock
-	table    *keeper.Client
+	edges    Edges
 	life     *drainer.Drainer
 	counters counters
 
@@ -62,22 +77,13 @@
 	incarnation identifier.Incarnation
 }
 
-// Ports are the open ports of an entry.
-type Ports struct {
-	Callers, Link, Admin net.Listener
-}
-
 // New returns an entry that has not begun.
-func New(settings *loader.Entry, log *zap.Logger, clock identifier.Clock) (*Runner, error) {
-	table, err := keeper.New(settings.Platform.Addr, settings.Platform.Timeout)
-	if err != nil {
-		return nil, err
-	}
+func New(settings *loader.Entry, log *zap.Logger, clock identifier.Clock, edges Edges) *Runner {
 	r := &Runner{
 		settings: settings,
 		log:      log,
 		clock:    clock,
-		table:    table,
+		edges:    edges,
 		owner: owner.New(owner.Settings{
 			Partitions: settings.Partitions,
 			Retention:  settings.Retention,
@@ -98,82 +104,40 @@
 		moved:    make(chan struct{}),
 	}
 	r.life = drainer.New(func(s drainer.Stage) { log.Info("stage", zap.String("stage", string(s))) })
-	return r, nil
-}
-
-// Listen opens the ports that the settings name.
-func Listen(settings *loader.Entry) (Ports, error) {
-	var ports Ports
-	var err error
-	if ports.Callers, err = listener.Listen(settings.Callers); err != nil {
-		return ports, err
-	}
-	if ports.Link, err = listener.Listen(settings.Link); err != nil {
-		return ports, err
-	}
-	ports.Admin, err = listener.Listen(settings.Admin)
-	return ports, err
+	return r
 }
 
-// Run is the entry's life. It ends in good order when ctx does.
-func (r *Runner) Run(ctx context.Context, ports Ports) error {
+// Run is the entry's life. It ends in good order when ctx does: the partitions go
+// to other entries first, then finish is called, which must return when every
+// caller has been answered.
+func (r *Runner) Run(ctx context.Context, link net.Listener, finish func()) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	tasks := r.begin(background, ports)
-	front := server.Server{Jobs: r, Clock: r.clock, Templates: r.settings.Templates, Workspaces: r.settings.Workspaces}
-	callers, stopCallers := context.WithCancel(background)
-	defer stopCallers()
-	served := make(chan error, 1)
-	go func() { served <- front.Run(callers, ports.Callers) }()
+	tasks := []func(){
+		func() { r.follow(background) },
+		func() { r.tick(background) },
+		func() { connector.Serve(background, link, r.accept) },
+		func() { connector.Keep(background, r.wanted, r.session) },
+	}
+	ended := make(chan struct{})
+	for _, run := range tasks {
+		go func() {
+			run()
+			ended <- struct{}{}
+		}()
+	}
 	if err := r.life.Ready(); err != nil {
 		return err
 	}
-	select {
-	case err := <-served:
-		return errors.Wrap(err, "serve callers")
-	case <-ctx.Done():
-	}
+	<-ctx.Done()
 	r.leave()
-	stopCallers()
-	err := <-served
-	if err := r.life.Drained(); err != nil {
-		r.log.Error("life_cycle", zap.Error(err))
-	}
+	finish()
+	err := r.life.Drained()
 	stop()
-	for range tasks.count {
-		<-tasks.ended
-	}
-	return errors.Wrap(err, "serve callers")
-}
-
-// tasks are the background tasks of an entry.
-type tasks struct {
-	count int
-	ended chan struct{}
-}
-
-// begin starts the tasks that go on until everything in flight has been answered.
-func (r *Runner) begin(ctx context.Context, ports Ports) tasks {
-	pages := r.pages()
-	all := []func(){
-		func() { r.follow(ctx) },
-		func() { r.tick(ctx) },
-		func() { connector.Serve(ctx, ports.Link, r.accept) },
-		func() { connector.Keep(ctx, r.wanted, r.session) },
-		func() {
-			if err := meter.Run(ctx, ports.Admin, pages); err != nil {
-				r.log.Error("pages_failed", zap.Error(err))
-			}
-		},
-	}
-	t := tasks{len(all), make(chan struct{}, len(all))}
-	for _, run := range all {
-		go func() {
-			run()
-			t.ended <- struct{}{}
-		}()
+	for range tasks {
+		<-ended
 	}
-	return t
+	return err
 }
 
 // tick looks at deadlines and takeovers until ctx ends.
--- a/internal/link/connector/handshake.go
+++ b/internal/link/connector/handshake.go
@@ -34,10 +34,20 @@
 	return errors.Errorf("message %T is not expected here; only processes of this cell may dial a link port", e.Message).Error()
 }
 
+// DialFunc opens a connection to a link port.
+type DialFunc func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+
+// DialTCP is the DialFunc of a process on a network.
+func DialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", to.String())
+}
+
 // Dial connects to a link port and introduces this process.
-func Dial(ctx context.Context, to netip.AddrPort, timing Timing, hello announcer.Hello) (*Link, announcer.Welcome, error) {
-	dialer := net.Dialer{Timeout: timing.Silence}
-	conn, err := dialer.DialContext(ctx, "tcp", to.String())
+func Dial(ctx context.Context, dial DialFunc, to netip.AddrPort, timing Timing, hello announcer.Hello) (*Link, announcer.Welcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, timing.Silence)
+	defer cancel()
+	conn, err := dial(ctx, to)
 	if err != nil {
 		return nil, announcer.Welcome{}, errors.Wrap(err, "dial a link")
 	}
