Hold the deciding slices by golden scripts

Cause: the slices decided without a test of their own. What the cases found and this mends: revocations left in the order of a map, which made histories differ; a draining agent recalled slots when an entry was linked; a tenure outlived the link that it was asked on; orphaned partitions were dealt by turn, so entries took them one after the other and balanced again. An entry now reads the assignment as soon as it wants to change it, not at the next turn. Ruled out: mocks with expectations, which say less than the whole list of effects.

--- a/internal/agent/runner/session.go
+++ b/internal/agent/runner/session.go
@@ -48,6 +48,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.links, entry)
+	r.starter.Unlink(entry)
 	r.sendChanges(r.offerer.Unlink(entry))
 	select {
 	case r.unlinked <- struct{}{}:
--- a/internal/core/identifier/identifier.go
+++ b/internal/core/identifier/identifier.go
@@ -7,6 +7,7 @@
 package identifier
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -49,6 +50,15 @@
 	return t.Submission.String() + "#" + strconv.Itoa(t.Index)
 }
 
+// Compare orders tasks by workspace, key and index.
+func (t Task) Compare(other Task) int {
+	return cmp.Or(
+		cmp.Compare(t.Submission.Workspace, other.Submission.Workspace),
+		cmp.Compare(t.Submission.Key, other.Submission.Key),
+		cmp.Compare(t.Index, other.Index),
+	)
+}
+
 // Partition numbers a share of all submissions, from zero.
 type Partition uint16
 
--- a/internal/entry/runner/follow.go
+++ b/internal/entry/runner/follow.go
@@ -25,16 +25,20 @@
 // once.
 const raceRetries = 5
 
-// follow reads the assignment again and again until ctx ends.
+// follow reads the assignment again and again until ctx ends. When a reading has
+// failed, it waits for the next turn, however much there is to change.
 func (r *Runner) follow(ctx context.Context) {
 	ticker := time.NewTicker(r.settings.Refresh)
 	defer ticker.Stop()
 	for {
+		woken := r.woken
 		if err := r.refresh(ctx); err != nil && ctx.Err() == nil {
 			r.log.Warn("assignment_unread", zap.Error(err))
+			woken = nil
 		}
 		select {
 		case <-ticker.C:
+		case <-woken:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/entry/runner/runner.go
+++ b/internal/entry/runner/runner.go
@@ -68,6 +68,8 @@
 	accepted map[identifier.Entry]*connector.Link
 	requests requests
 	wanted   chan []announcer.Peer
+	// woken holds a token when the assignment should be read before its time.
+	woken chan struct{}
 	// moved is closed and made anew whenever an owner or a link changes.
 	moved chan struct{}
 }
@@ -101,6 +103,7 @@
 		dialled:  make(map[identifier.Entry]*connector.Link),
 		accepted: make(map[identifier.Entry]*connector.Link),
 		wanted:   make(chan []announcer.Peer, 1),
+		woken:    make(chan struct{}, 1),
 		moved:    make(chan struct{}),
 	}
 	r.life = drainer.New(func(s drainer.Stage) { log.Info("stage", zap.String("stage", string(s))) })
@@ -151,13 +154,25 @@
 			r.mu.Lock()
 			r.checkTakeovers(now)
 			r.perform(r.owner.Tick(now))
+			_, wanting := r.claimer.Plan(now)
 			r.mu.Unlock()
+			if wanting {
+				r.wake()
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// wake makes follow read the assignment at once.
+func (r *Runner) wake() {
+	select {
+	case r.woken <- struct{}{}:
+	default:
+	}
+}
+
 // perform carries out the effects of a decision. The lock is held, so that the
 // messages leave in the order of the decisions.
 func (r *Runner) perform(effects []owner.Effect) {
--- a/internal/job/offerer/offerer.go
+++ b/internal/job/offerer/offerer.go
@@ -47,6 +47,9 @@
 // Link adds an entry and offers it its part of the slots.
 func (o *Offerer) Link(entry identifier.Entry) []Change {
 	o.shares = append(o.shares, &share{entry: entry})
+	if o.draining {
+		return nil
+	}
 	changes := o.spread()
 	part := o.part()
 	for _, sh := range o.shares {
--- a/internal/job/owner/agents.go
+++ b/internal/job/owner/agents.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
@@ -18,7 +20,7 @@
 // sent to it on an earlier link.
 func (o *Owner) AgentLinked(agent identifier.Agent, incarnation identifier.Incarnation) []Effect {
 	o.pool.Link(agent, incarnation)
-	for name := range o.sent[agent] {
+	for _, name := range sortedTasks(o.sent[agent]) {
 		j, ok := o.book.Find(name.Submission)
 		if !ok || j.ended {
 			continue
@@ -52,7 +54,8 @@
 // asked for yet.
 func (o *Owner) settleEvidence(agent identifier.Agent, incarnation identifier.Incarnation) {
 	for p, h := range o.holdings {
-		for name, e := range h.evidence {
+		for _, name := range sortedTasks(h.evidence) {
+			e := h.evidence[name]
 			if e.agent != agent || e.result.Outcome != describer.Pending {
 				continue
 			}
@@ -72,6 +75,12 @@
 	}
 }
 
+// sortedTasks returns the keys in a fixed order, so that equal histories lead to
+// equal messages.
+func sortedTasks[V any](m map[identifier.Task]V) []identifier.Task {
+	return slices.SortedFunc(maps.Keys(m), identifier.Task.Compare)
+}
+
 // AgentLost notes that the link to an agent is gone. Its tasks stay in doubt
 // until it is linked again or their deadlines pass.
 func (o *Owner) AgentLost(agent identifier.Agent) {
--- /dev/null
+++ b/internal/job/owner/owner_test.go
@@ -0,0 +1,230 @@
+package owner
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/bench/scripter"
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/offerer"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
+)
+
+func TestOwner(t *testing.T) {
+	scripter.Run(t, "testdata/*.txtar", func() scripter.Step {
+		d := &driver{o: New(Settings{Partitions: 1, Retention: time.Minute, ClockBound: time.Second, MaxWaiting: 20, TypicalRun: 100 * time.Millisecond})}
+		return d.step
+	})
+}
+
+// driver drives an owner of one partition by the lines of a script.
+type driver struct {
+	o    *Owner
+	last uint64
+}
+
+// step knows these lines:
+//
+//	claim EPOCH; serve EPOCH [cutoff]; lose; confirm DURATION; tick
+//	submit KEY TASKS [normal] [budget=D] [age=D] [text=T] [workspace=W]
+//	cancel KEY; get KEY
+//	link AGENT INCARNATION; unlink AGENT; left AGENT
+//	grant AGENT INCARNATION SLOTS; recall AGENT INCARNATION SLOTS
+//	sealed AGENT INCARNATION TASK OUTCOME
+//	ended AGENT INCARNATION TASK OUTCOME
+//	notstarted AGENT INCARNATION TASK ATTEMPT REASON
+//	revoked AGENT INCARNATION TASK ATTEMPT started|tombstoned [OUTCOME]
+func (d *driver) step(t *testing.T, now time.Time, words []string) string {
+	args := append(words[1:], "", "", "", "", "")
+	agent, task := identifier.Agent(args[0]), readTask(args[2])
+	incarnation := identifier.Incarnation(atoi(args[1]))
+	switch words[0] {
+	case "claim":
+		d.o.Claim(starter.Claim{Epoch: identifier.Epoch(atoi(args[0]))})
+	case "serve":
+		var cutoff time.Time
+		if args[1] == "cutoff" {
+			cutoff = now
+		}
+		return show(d.o.Serve(now, starter.Claim{Epoch: identifier.Epoch(atoi(args[0]))}, cutoff))
+	case "lose":
+		return show(d.o.Lose(0))
+	case "confirm":
+		return show(d.o.Confirm(now, now.Add(scripter.Duration(t, args[0]))))
+	case "tick":
+		return show(d.o.Tick(now))
+	case "submit":
+		return show(d.o.Submit(now, d.request(), readJob(t, now, words[1:])))
+	case "get", "cancel":
+		s := identifier.Submission{Workspace: "w", Key: args[0]}
+		return show(d.o.Inquire(now, d.request(), s, words[0] == "cancel"))
+	case "link":
+		return show(d.o.AgentLinked(agent, incarnation))
+	case "unlink":
+		d.o.AgentLost(agent)
+	case "left":
+		d.o.Left(agent)
+	case "grant":
+		return show(d.o.Granted(now, agent, &offerer.Grant{Incarnation: incarnation, Slots: atoi(args[2])}))
+	case "recall":
+		return show(d.o.Recalled(agent, &offerer.Recall{Incarnation: incarnation, Slots: atoi(args[2])}))
+	case "sealed":
+		d.o.Sealed(agent, &starter.Sealed{Incarnation: incarnation, Records: []starter.Record{
+			{Task: task, Attempt: 1, Digest: digest(t, task), Result: describer.Result{Outcome: outcome(t, args[3])}},
+		}})
+	case "ended":
+		return show(d.o.Ended(now, agent, &starter.Ended{Incarnation: incarnation, Task: task, Result: describer.Result{Outcome: outcome(t, args[3])}, Granted: 1}))
+	case "notstarted":
+		m := &starter.NotStarted{Incarnation: incarnation, Task: task, Attempt: uint32(atoi(args[3])), Reason: reason(t, args[4]), Granted: 1}
+		return show(d.o.NotStarted(now, agent, m))
+	case "revoked":
+		m := &starter.Revoked{Incarnation: incarnation, Task: task, Attempt: uint32(atoi(args[3])), Started: args[4] == "started"}
+		if m.Started {
+			m.Result.Outcome = outcome(t, args[5])
+		}
+		return show(d.o.Revoked(now, agent, m))
+	default:
+		t.Fatalf("unknown step %v", words)
+	}
+	return ""
+}
+
+func (d *driver) request() Request {
+	d.last++
+	return Request{Entry: "e", Sequence: d.last}
+}
+
+// readJob reads the words of a submit line. The identity is created now, or
+// earlier by age.
+func readJob(t *testing.T, now time.Time, words []string) describer.Job {
+	j := describer.Job{
+		Submission: identifier.Submission{Workspace: "w", Key: words[0]},
+		Created:    scripter.Epoch,
+		Urgent:     true,
+		Budget:     10 * time.Second,
+	}
+	text := "x"
+	for _, word := range words[2:] {
+		name, value, _ := strings.Cut(word, "=")
+		switch name {
+		case "normal":
+			j.Urgent = false
+		case "budget":
+			j.Budget = scripter.Duration(t, value)
+		case "age":
+			j.Created = now.Add(-scripter.Duration(t, value))
+		case "text":
+			text = value
+		case "workspace":
+			j.Submission.Workspace = value
+		default:
+			t.Fatalf("unknown word %s", word)
+		}
+	}
+	for range atoi(words[1]) {
+		j.Inputs = append(j.Inputs, []byte(text))
+	}
+	return j
+}
+
+// digest is that of a job of two tasks, as the cases with evidence use it.
+func digest(t *testing.T, task identifier.Task) uint64 {
+	j := readJob(t, scripter.Epoch, []string{task.Submission.Key, "2"})
+	return j.Digest()
+}
+
+// readTask reads a task such as job#0 or w/job#0.
+func readTask(text string) identifier.Task {
+	name, index, _ := strings.Cut(text, "#")
+	workspace, key, found := strings.Cut(name, "/")
+	if !found {
+		workspace, key = "w", name
+	}
+	return identifier.Task{Submission: identifier.Submission{Workspace: workspace, Key: key}, Index: atoi(index)}
+}
+
+func outcome(t *testing.T, text string) describer.Outcome {
+	for o := describer.Pending; o <= describer.MayHaveRun; o++ {
+		if o.String() == text {
+			return o
+		}
+	}
+	t.Fatalf("unknown outcome %q", text)
+	return 0
+}
+
+func reason(t *testing.T, text string) starter.Reason {
+	for r := starter.Accepted; r <= starter.Unreachable; r++ {
+		if r.String() == text {
+			return r
+		}
+	}
+	t.Fatalf("unknown reason %q", text)
+	return 0
+}
+
+func atoi(text string) int {
+	n, _ := strconv.Atoi(text)
+	return n
+}
+
+// show prints effects, one a line.
+func show(effects []Effect) string {
+	var lines []string
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Tell:
+			lines = append(lines, fmt.Sprintf("tell %d: %s", e.To.Sequence, showReply(e.Reply)))
+		case Send:
+			lines = append(lines, fmt.Sprintf("%s: %s", e.Agent, showMessage(e.Message)))
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+func showReply(r Reply) string {
+	switch {
+	case r.Moved:
+		return "moved"
+	case r.Running:
+		return "running"
+	case r.Answer.Refusal != nil:
+		return fmt.Sprintf("refused, %s, not run %t, retry after %s", r.Answer.Refusal.Kind, r.Answer.Refusal.NotRun, r.Answer.Refusal.RetryAfter)
+	}
+	var outcomes []string
+	for _, result := range r.Answer.Results {
+		outcomes = append(outcomes, result.Outcome.String())
+	}
+	return fmt.Sprintf("complete %t: %s", r.Answer.Complete, strings.Join(outcomes, " "))
+}
+
+func showMessage(m any) string {
+	switch m := m.(type) {
+	case *starter.Start:
+		return fmt.Sprintf("start %s, incarnation %d, epoch %d, attempt %d, %d waiting", m.Task, m.Incarnation, m.Epoch, m.Attempt, m.Waiting)
+	case *starter.Revoke:
+		return fmt.Sprintf("revoke %s, incarnation %d, epoch %d, attempt %d", m.Task, m.Incarnation, m.Epoch, m.Attempt)
+	case *offerer.Want:
+		return fmt.Sprintf("want, %d waiting", m.Waiting)
+	case *offerer.Return:
+		return fmt.Sprintf("return %d slots", m.Slots)
+	}
+	return fmt.Sprintf("%T", m)
+}
+
+func TestJobsAreForgottenInFullOnLoss(t *testing.T) {
+	d := &driver{o: New(Settings{Partitions: 1, Retention: time.Minute, MaxWaiting: 10})}
+	d.o.Claim(starter.Claim{Epoch: 1})
+	d.o.Serve(scripter.Epoch, starter.Claim{Epoch: 1}, time.Time{})
+	d.o.Submit(scripter.Epoch, d.request(), readJob(t, scripter.Epoch, []string{"a", "3"}))
+	d.o.Lose(0)
+	assert.Equal(t, d.o.Held(), 0)
+	assert.Equal(t, d.o.Unanswered(), 0)
+	assert.Equal(t, len(d.o.sent), 0)
+}
--- a/internal/job/starter/starter.go
+++ b/internal/job/starter/starter.go
@@ -224,6 +224,13 @@
 	}
 }
 
+// Unlink forgets the tenure of an entry whose link has ended: the process that is
+// linked next under its name may be another.
+func (s *Starter) Unlink(entry identifier.Entry) {
+	delete(s.tenures, entry)
+	delete(s.asked, entry)
+}
+
 // Drain makes the starter refuse all further starts.
 func (s *Starter) Drain() {
 	s.draining = true
--- /dev/null
+++ b/internal/job/starter/starter_test.go
@@ -0,0 +1,94 @@
+package starter
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/bench/scripter"
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
+)
+
+func TestStarter(t *testing.T) {
+	scripter.Run(t, "testdata/*.txtar", func() scripter.Step {
+		s := &Starter{Incarnation: 7, Retention: time.Minute}
+		return func(t *testing.T, now time.Time, words []string) string { return step(t, s, now, words) }
+	})
+}
+
+// step knows these lines:
+//
+//	tenure ENTRY DURATION            an answer to a question sent now
+//	ask ENTRY SEQUENCE; told ENTRY SEQUENCE DURATION
+//	start ENTRY TASK epoch attempt [incarnation=N] [noslot]
+//	end TASK; undo TASK; revoke ENTRY TASK epoch attempt
+//	seal ENTRY epoch; fence ENTRY epoch; unlink ENTRY; drain; expire
+func step(t *testing.T, s *Starter, now time.Time, words []string) string {
+	entry := func() identifier.Entry { return identifier.Entry(words[1]) }
+	switch words[0] {
+	case "tenure":
+		s.AskTenure(now, entry(), 1)
+		s.Tenure(entry(), &Tenure{Sequence: 1, Remaining: scripter.Duration(t, words[2])})
+		return ""
+	case "ask":
+		s.AskTenure(now, entry(), number(t, words[2]))
+		return ""
+	case "told":
+		s.Tenure(entry(), &Tenure{Sequence: number(t, words[2]), Remaining: scripter.Duration(t, words[3])})
+		return ""
+	case "start":
+		m := &Start{Incarnation: 7, Task: task(words[2]), Epoch: identifier.Epoch(number(t, words[3])), Attempt: uint32(number(t, words[4])), Digest: 99}
+		slot := true
+		for _, w := range words[5:] {
+			slot = slot && w != "noslot"
+			if w == "incarnation=6" {
+				m.Incarnation = 6
+			}
+		}
+		return s.Start(now, entry(), m, slot).String()
+	case "end":
+		to := s.End(task(words[1]), describer.Result{Outcome: describer.Succeeded})
+		return fmt.Sprintf("report to %q, %d running", to, s.Running())
+	case "undo":
+		to, m := s.Undo(task(words[1]))
+		return fmt.Sprintf("report to %q: %s, epoch %d, attempt %d", to, m.Reason, m.Epoch, m.Attempt)
+	case "revoke":
+		m, ok := s.Revoke(now, entry(), &Revoke{Incarnation: 7, Task: task(words[2]), Epoch: identifier.Epoch(number(t, words[3])), Attempt: uint32(number(t, words[4]))})
+		return fmt.Sprintf("answered %t, started %t, %s", ok, m.Started, m.Result.Outcome)
+	case "seal":
+		m, ok := s.Seal(entry(), &Seal{Incarnation: 7, Claims: []Claim{{Partition: 0, Epoch: identifier.Epoch(number(t, words[2]))}}})
+		return fmt.Sprintf("answered %t, %d records", ok, len(m.Records))
+	case "fence":
+		s.Fence(entry(), Claim{Partition: 0, Epoch: identifier.Epoch(number(t, words[2]))})
+		return ""
+	case "unlink":
+		s.Unlink(entry())
+		return ""
+	case "drain":
+		s.Drain()
+		return ""
+	case "expire":
+		s.Expire(now)
+		return fmt.Sprintf("%d records", s.Records())
+	}
+	t.Fatalf("unknown step %v", words)
+	return ""
+}
+
+// task reads a task such as job#0, in the workspace w.
+func task(text string) identifier.Task {
+	key, index, _ := strings.Cut(text, "#")
+	i, _ := strconv.Atoi(index)
+	return identifier.Task{Submission: identifier.Submission{Workspace: "w", Key: key}, Index: i}
+}
+
+func number(t *testing.T, text string) uint64 {
+	n, err := strconv.ParseUint(text, 10, 64)
+	assert.NilError(t, err)
+	return n
+}
--- a/internal/member/claimer/claimer.go
+++ b/internal/member/claimer/claimer.go
@@ -187,22 +187,20 @@
 	return name == c.Self || now.Sub(c.heard[name]) < c.Silence
 }
 
-// planOrphans takes this entry's part of the partitions whose owner is gone. The
-// orphans are dealt out in turn, so that entries with the same view of who is
-// alive do not race for them.
+// planOrphans takes this entry's part of the partitions whose owner is gone. They
+// are dealt out by their numbers, so that entries with the same view of who is
+// alive do not want the same ones.
 func (c *Claimer) planOrphans(next *Assignment, live []identifier.Entry) bool {
 	changed := false
-	turn := 0
 	for i, o := range next.Partitions {
 		m, known := next.Entries[o.Owner]
 		if known && m.Incarnation == o.Incarnation && slices.Contains(live, o.Owner) {
 			continue
 		}
-		if live[turn%len(live)] == c.Self {
+		if live[i%len(live)] == c.Self {
 			next.Partitions[i] = c.claim(o)
 			changed = true
 		}
-		turn++
 	}
 	return changed
 }
