Say "not run" only while no other owner can have run it

Cause: a caller may submit through one entry, lose the answer, and submit again through another. A deposed owner that has not noticed yet, an entry that reached no owner, or an entry whose configuration refuses the job would have answered not_run: true for work that ran. A terminal that trusts it posts an order twice. Change: an owner's word lasts one and a half refreshes after the sending of a reading of the assignment, and a takeover serves only after that; past its word an owner promises nothing, and says may_have_run of what it dropped. An entry refuses for its configuration only after asking the owner, and hands out the answer if there is one. Ruled out: waiting for a fresh reading before each refusal, which would make load shedding slow; an acknowledgement of the old owner, which a dead one cannot give. Found on the way: the HTTP library's log level is global, and setting it from each server was a race; the race detector ended an entry for it. A process test hung after such an end, since it waited for it twice; both are mended. Figures: the default refresh goes from 1 s to 500 ms, so that the word is 750 ms. Conclusion: not_run is a promise about the submission, whoever is asked.

--- a/cmd/dandeliongrade/process_test.go
+++ b/cmd/dandeliongrade/process_test.go
@@ -34,9 +34,11 @@
 
 // process is a role that runs as a process of its own.
 type process struct {
-	cmd   *exec.Cmd
-	log   lockedBuffer
-	ended chan error
+	cmd *exec.Cmd
+	log lockedBuffer
+	// ended is closed when the process has ended, with err.
+	ended chan struct{}
+	err   error
 }
 
 type lockedBuffer struct {
@@ -85,8 +87,11 @@
 		c.start("backend", fmt.Sprintf("backend-%d", i), fmt.Sprintf(`"listen": "IP:730%d", "longest_run": "300ms"`, i))
 		c.startAgent(i)
 	}
-	for _, admin := range []string{"7401", "7402", "7501", "7502", "7503"} {
-		c.awaitReady(admin)
+	for _, page := range []string{
+		"7301/v1/log", "7302/v1/log", "7303/v1/log",
+		"7401/readyz", "7402/readyz", "7501/readyz", "7502/readyz", "7503/readyz",
+	} {
+		c.awaitPage(page)
 	}
 	return c
 }
@@ -106,17 +111,21 @@
 	file := filepath.Join(c.dir, name+".jsonc")
 	text := fmt.Sprintf("{\"role\": %q, %s}", role, settings)
 	assert.NilError(c.t, os.WriteFile(file, bytes.ReplaceAll([]byte(text), []byte("IP"), []byte(c.ip)), 0o600))
-	p := &process{cmd: exec.Command(os.Args[0], role, file), ended: make(chan error, 1)}
+	p := &process{cmd: exec.Command(os.Args[0], role, file), ended: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), roleVariable+"=1")
 	p.cmd.Stderr = &p.log
 	assert.NilError(c.t, p.cmd.Start())
-	go func() { p.ended <- p.cmd.Wait() }()
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.ended)
+	}()
 	c.processes[name] = p
 }
 
-func (c *cell) awaitReady(port string) {
-	c.await("readiness of port "+port, func() bool {
-		resp, err := http.Get("http://" + c.ip + ":" + port + "/readyz")
+// awaitPage waits until a page, given by port and path, is served.
+func (c *cell) awaitPage(page string) {
+	c.await("page "+page, func() bool {
+		resp, err := http.Get("http://" + c.ip + ":" + page)
 		if err != nil {
 			return false
 		}
@@ -151,12 +160,12 @@
 // awaitExit waits for the end of a process that was told to stop.
 func (c *cell) awaitExit(name string) {
 	c.t.Helper()
+	p := c.processes[name]
 	select {
-	case err := <-c.processes[name].ended:
-		if err != nil {
-			c.fail(name + " ended with " + err.Error())
+	case <-p.ended:
+		if p.err != nil {
+			c.fail(name + " ended with " + p.err.Error())
 		}
-		c.processes[name].ended <- nil
 	case <-time.After(time.Minute):
 		c.fail(name + " did not end")
 	}
--- a/internal/bench/scripter/scripter.go
+++ b/internal/bench/scripter/scripter.go
@@ -58,7 +58,7 @@
 		{Name: scriptSection, Data: script},
 		{Name: outputSection, Data: []byte(run(t, string(script), step))},
 	}
-	golden.AssertBytes(t, txtar.Format(archive), filepath.Base(file))
+	golden.Assert(t, string(txtar.Format(archive)), filepath.Base(file))
 }
 
 func run(t *testing.T, script string, step Step) string {
--- a/internal/config/loader/entry.go
+++ b/internal/config/loader/entry.go
@@ -64,7 +64,7 @@
 		Timing:     defaultTiming(),
 		Partitions: 64,
 		Tenure:     3 * time.Second,
-		Refresh:    time.Second,
+		Refresh:    500 * time.Millisecond,
 		Retention:  15 * time.Minute,
 		ClockBound: 5 * time.Second,
 		MaxWaiting: 100_000,
--- a/internal/core/refuser/refuser.go
+++ b/internal/core/refuser/refuser.go
@@ -13,6 +13,7 @@
 // The kinds of refusal.
 const (
 	BadRequest         Kind = "bad_request"
+	NotAllowed         Kind = "not_allowed"
 	TooLarge           Kind = "too_large"
 	TooManyTasks       Kind = "too_many_tasks"
 	UnknownTemplate    Kind = "unknown_template"
@@ -34,8 +35,9 @@
 	Kind   Kind
 	Detail string
 	Remedy string
-	// NotRun promises that no task of the submission was or will be started by
-	// this request.
+	// NotRun promises that nothing of the submission had been started when this
+	// was said, by whatever request, and that this request starts nothing. Only
+	// the owner can know, unless there is no readable submission at all.
 	NotRun bool
 	// RetryAfter is how long to wait before the next try; zero gives no advice.
 	RetryAfter time.Duration
--- a/internal/entry/runner/follow.go
+++ b/internal/entry/runner/follow.go
@@ -97,7 +97,7 @@
 	}
 	claims := r.claim(now, change.Claimed)
 	if r.claimer.Joined() {
-		r.perform(r.owner.Confirm(now, sent.Add(r.settings.Tenure)))
+		r.perform(r.owner.Confirm(now, sent.Add(r.settings.Tenure), sent.Add(r.word())))
 	}
 	if record.Version != before {
 		r.spread(record.Version, a.Peers())
@@ -178,7 +178,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	tenure := r.settings.Tenure + r.settings.Tenure/driftDivisor
-	t := sealer.New(now, r.unsealed, roster, tenure, r.settings.Retention+r.settings.ClockBound)
+	word := r.word() + r.word()/driftDivisor
+	t := sealer.New(now, r.unsealed, roster, tenure, word, r.settings.Retention+r.settings.ClockBound)
 	r.unsealed = nil
 	r.takeovers = append(r.takeovers, t)
 	for name, a := range r.agents {
@@ -188,6 +189,12 @@
 	return nil
 }
 
+// word is how long a reading of the assignment lets this entry say that something
+// was not run. It is short, for a takeover waits for its end.
+func (r *Runner) word() time.Duration {
+	return r.settings.Refresh + r.settings.Refresh/2
+}
+
 func parseRoster(records []keeper.Record) ([]announcer.Member, error) {
 	roster := make([]announcer.Member, 0, len(records))
 	for _, record := range records {
--- a/internal/entry/runner/links.go
+++ b/internal/entry/runner/links.go
@@ -137,7 +137,7 @@
 	case *owner.Submit:
 		r.perform(r.owner.Submit(now, owner.Request{Entry: from, Sequence: m.Sequence}, m.Job))
 	case *owner.Inquire:
-		r.perform(r.owner.Inquire(now, owner.Request{Entry: from, Sequence: m.Sequence}, m.Submission, m.Cancel))
+		r.perform(r.owner.Inquire(now, owner.Request{Entry: from, Sequence: m.Sequence}, m))
 	default:
 		return &connector.UnexpectedError{Message: message}
 	}
--- a/internal/entry/runner/requests.go
+++ b/internal/entry/runner/requests.go
@@ -66,11 +66,11 @@
 }
 
 // Inquire asks the owner what is known of a job, and whether it still runs.
-func (r *Runner) Inquire(ctx context.Context, s identifier.Submission, cancel bool) (describer.Answer, bool) {
+func (r *Runner) Inquire(ctx context.Context, s identifier.Submission, created time.Time, cancel bool) (describer.Answer, bool) {
 	ctx, stop := context.WithTimeout(ctx, inquireTimeout)
 	defer stop()
 	reply, asked := r.ask(ctx, s.Partition(r.settings.Partitions), func(_ time.Time, sequence uint64) any {
-		return &owner.Inquire{Sequence: sequence, Submission: s, Cancel: cancel}
+		return &owner.Inquire{Sequence: sequence, Submission: s, Created: created, Cancel: cancel}
 	})
 	if reply == nil {
 		return describer.Answer{Refusal: unanswered(asked)}, false
@@ -135,7 +135,7 @@
 	case *owner.Submit:
 		r.perform(r.owner.Submit(now, owner.Request{Entry: r.settings.Name, Sequence: m.Sequence}, m.Job))
 	case *owner.Inquire:
-		r.perform(r.owner.Inquire(now, owner.Request{Entry: r.settings.Name, Sequence: m.Sequence}, m.Submission, m.Cancel))
+		r.perform(r.owner.Inquire(now, owner.Request{Entry: r.settings.Name, Sequence: m.Sequence}, m))
 	}
 }
 
@@ -190,7 +190,8 @@
 	r.requests.forget(q.sequence)
 }
 
-// unanswered is the refusal for a question that got no reply in time.
+// unanswered is the refusal for a question that got no reply in time. It promises
+// nothing: the submission may have reached its owner by another entry.
 func unanswered(asked bool) *refuser.Refusal {
 	if asked {
 		return &refuser.Refusal{
@@ -203,7 +204,6 @@
 		Kind:       refuser.NoOwner,
 		Detail:     "no entry that owns the job could be reached",
 		Remedy:     "submit the same identity again after the stated time",
-		NotRun:     true,
 		RetryAfter: time.Second,
 	}
 }
--- a/internal/front/listener/listener.go
+++ b/internal/front/listener/listener.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -15,8 +16,12 @@
 	"github.com/pkg/errors"
 )
 
-// MaxBody is the largest body of a request, in bytes.
-const MaxBody = 4 << 20
+// MaxBody is the largest body of a request that is served, in bytes. A body of up
+// to maxRead bytes is read, so that its sender gets an answer that says so.
+const (
+	MaxBody = 4 << 20
+	maxRead = 2 * MaxBody
+)
 
 // exitWait bounds how long a stop waits for requests in flight.
 const exitWait = 60 * time.Second
@@ -31,6 +36,10 @@
 	conns *idler
 }
 
+// silenceLibrary keeps the HTTP library from writing lines of its own form into
+// our log. Its level is global and may be set only once.
+var silenceLibrary = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
+
 // Listen opens a port.
 func Listen(addr netip.AddrPort) (net.Listener, error) {
 	ln, err := net.Listen("tcp", addr.String())
@@ -44,12 +53,12 @@
 
 // New returns a server on ln without routes.
 func New(ln net.Listener, more ...config.Option) *Server {
-	hlog.SetLevel(hlog.LevelFatal)
+	silenceLibrary()
 	conns := newIdler(ln)
 	options := []config.Option{
 		server.WithListener(conns),
 		server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(MaxBody),
+		server.WithMaxRequestBodySize(maxRead),
 		server.WithExitWaitTime(exitWait),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithDisablePrintRoute(true),
--- a/internal/front/server/request.go
+++ b/internal/front/server/request.go
@@ -11,8 +11,10 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/pkg/errors"
 
+	"github.com/dandeliongrade/dandeliongrade/internal/config/loader"
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/core/refuser"
+	"github.com/dandeliongrade/dandeliongrade/internal/front/listener"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
 )
 
@@ -33,57 +35,82 @@
 	Tasks      []json.RawMessage `json:"tasks"`
 }
 
-// readJob returns the job that a request describes, or why it is refused.
+// readJob returns the job that a request describes, or why it is refused. A
+// refusal that depends on the configuration in force comes with the identity of
+// the job, as far as it could be read.
 func (s *Server) readJob(rc *app.RequestContext) (describer.Job, *refuser.Refusal) {
+	var job describer.Job
 	var in jobRequest
 	if r := decode(rc.Request.Body(), &in); r != nil {
-		return describer.Job{}, r
+		return job, r
 	}
-	t := s.Templates[in.Template]
+	if r := readIdentity(string(rc.GetHeader(HeaderIdentity)), &in, &job); r != nil {
+		return job, r
+	}
+	if r := readTasks(&in, &job); r != nil {
+		return job, r
+	}
+	t, r := s.findTemplate(&in)
+	if r != nil {
+		return job, r
+	}
+	job.Template = in.Template
+	job.Path = t.Path
+	job.Urgent = t.Urgent
+	job.NotRepeated = in.NotRepeated
+	job.Budget = t.Deadline
+	job.Timeout = t.Timeout
+	if r := readUrgency(&in, &job); r != nil {
+		return job, r
+	}
+	return job, readDeadline(&in, &job)
+}
+
+// findTemplate checks the job against the declared workspaces and templates.
+func (s *Server) findTemplate(in *jobRequest) (*loader.Template, *refuser.Refusal) {
 	w := s.Workspaces[in.Workspace]
-	switch {
-	case w == nil:
-		return describer.Job{}, unknownWorkspace(in.Workspace)
-	case t == nil:
-		return describer.Job{}, &refuser.Refusal{
-			Kind:   refuser.UnknownTemplate,
-			Detail: "there is no template " + strconv.Quote(in.Template),
-			Remedy: "use a declared template, or have this one declared",
-			NotRun: true,
-		}
-	case len(in.Tasks) == 0:
-		return describer.Job{}, badRequest("tasks is empty", "give at least one task")
-	case len(in.Tasks) > w.MaxTasks:
-		return describer.Job{}, &refuser.Refusal{
+	if w == nil {
+		return nil, unknownWorkspace(in.Workspace)
+	}
+	if len(in.Tasks) > w.MaxTasks {
+		return nil, &refuser.Refusal{
 			Kind:   refuser.TooManyTasks,
 			Detail: fmt.Sprintf("the job has %d tasks, and the workspace may send %d", len(in.Tasks), w.MaxTasks),
 			Remedy: "split the job",
-			NotRun: true,
 		}
 	}
-	job := describer.Job{
-		Template:    in.Template,
-		Path:        t.Path,
-		Urgent:      t.Urgent,
-		NotRepeated: in.NotRepeated,
-		Budget:      t.Deadline,
-		Timeout:     t.Timeout,
-		Inputs:      make([][]byte, len(in.Tasks)),
+	t := s.Templates[in.Template]
+	if t == nil {
+		return nil, &refuser.Refusal{
+			Kind:   refuser.UnknownTemplate,
+			Detail: "there is no template " + strconv.Quote(in.Template),
+			Remedy: "use a declared template, or have this one declared",
+		}
 	}
+	return t, nil
+}
+
+func readTasks(in *jobRequest, job *describer.Job) *refuser.Refusal {
+	if len(in.Tasks) == 0 {
+		return badRequest("tasks is empty", "give at least one task")
+	}
+	job.Inputs = make([][]byte, len(in.Tasks))
 	for i, task := range in.Tasks {
 		job.Inputs[i] = task
 	}
-	if r := readUrgency(&in, &job); r != nil {
-		return job, r
-	}
-	if r := readDeadline(&in, &job); r != nil {
-		return job, r
-	}
-	return job, readIdentity(string(rc.GetHeader(HeaderIdentity)), &in, &job)
+	return nil
 }
 
 // decode reads one JSON value and nothing after it.
 func decode(body []byte, to any) *refuser.Refusal {
+	if len(body) > listener.MaxBody {
+		return &refuser.Refusal{
+			Kind:   refuser.TooLarge,
+			Detail: fmt.Sprintf("the body has %d bytes, and %d is the limit", len(body), listener.MaxBody),
+			Remedy: "split the job, or send smaller inputs",
+			NotRun: true,
+		}
+	}
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	err := dec.Decode(to)
@@ -92,6 +119,10 @@
 			err = errors.New("there is more after the object")
 		}
 	}
+	var mistyped *json.UnmarshalTypeError
+	if errors.As(err, &mistyped) {
+		err = errors.Errorf("a %s cannot stand at byte %d, in %q", mistyped.Value, mistyped.Offset, mistyped.Field)
+	}
 	if err != nil {
 		return badRequest("the body is not a job: "+err.Error(), "send one JSON object as GET /v1/openapi.json describes it")
 	}
@@ -104,7 +135,7 @@
 		return nil
 	}
 	if *in.Urgent && !job.Urgent {
-		return badRequest("the template "+strconv.Quote(in.Template)+" is not urgent", "use an urgent template, or leave urgent out")
+		return notAllowed("the template "+strconv.Quote(in.Template)+" is not urgent", "use an urgent template, or leave urgent out")
 	}
 	job.Urgent = *in.Urgent
 	return nil
@@ -117,7 +148,7 @@
 	}
 	most := job.Budget.Milliseconds()
 	if *in.DeadlineMS < 1 || *in.DeadlineMS > most {
-		return badRequest(fmt.Sprintf("deadline_ms is %d", *in.DeadlineMS), fmt.Sprintf("choose from 1 to %d, or leave it out", most))
+		return notAllowed(fmt.Sprintf("deadline_ms is %d", *in.DeadlineMS), fmt.Sprintf("choose from 1 to %d, or leave it out", most))
 	}
 	job.Budget = time.Duration(*in.DeadlineMS) * time.Millisecond
 	return nil
@@ -142,11 +173,15 @@
 	return nil
 }
 
+// notAllowed refuses what another configuration may allow, or have allowed.
+func notAllowed(detail, remedy string) *refuser.Refusal {
+	return &refuser.Refusal{Kind: refuser.NotAllowed, Detail: detail, Remedy: remedy}
+}
+
 func unknownWorkspace(name string) *refuser.Refusal {
 	return &refuser.Refusal{
 		Kind:   refuser.UnknownWorkspace,
 		Detail: "there is no workspace " + strconv.Quote(name),
 		Remedy: "use a declared workspace, or have this one declared",
-		NotRun: true,
 	}
 }
--- a/internal/front/server/response.go
+++ b/internal/front/server/response.go
@@ -51,6 +51,7 @@
 
 var statuses = map[refuser.Kind]int{
 	refuser.BadRequest:         consts.StatusBadRequest,
+	refuser.NotAllowed:         consts.StatusUnprocessableEntity,
 	refuser.TooLarge:           consts.StatusRequestEntityTooLarge,
 	refuser.TooManyTasks:       consts.StatusUnprocessableEntity,
 	refuser.UnknownTemplate:    consts.StatusUnprocessableEntity,
@@ -85,6 +86,10 @@
 	rc.JSON(consts.StatusOK, body)
 }
 
+func writeRunning(rc *app.RequestContext, s identifier.Submission) {
+	rc.JSON(consts.StatusAccepted, jobBody{Workspace: s.Workspace, Key: s.Key, Status: statusRunning})
+}
+
 // raw returns a backend server's answer as it is when it is JSON, else as a
 // string.
 func raw(body []byte) json.RawMessage {
--- a/internal/front/server/server.go
+++ b/internal/front/server/server.go
@@ -31,8 +31,9 @@
 	// Submit waits for the answer of a job.
 	Submit(ctx context.Context, job describer.Job) describer.Answer
 	// Inquire returns the answer of a job, or that it still runs. It cancels
-	// what has not started if told to.
-	Inquire(ctx context.Context, s identifier.Submission, cancel bool) (answer describer.Answer, running bool)
+	// what has not started if told to. Created is when the identity was made, zero
+	// when that is not known.
+	Inquire(ctx context.Context, s identifier.Submission, created time.Time, cancel bool) (answer describer.Answer, running bool)
 }
 
 // Server serves callers. Its fields are set before use.
@@ -67,11 +68,30 @@
 
 func (s *Server) postJob(ctx context.Context, rc *app.RequestContext) {
 	job, refusal := s.readJob(rc)
-	if refusal != nil {
+	if refusal == nil {
+		writeAnswer(rc, job.Submission, s.Jobs.Submit(ctx, job))
+		return
+	}
+	if refusal.NotRun {
 		writeRefusal(rc, refusal)
 		return
 	}
-	writeAnswer(rc, job.Submission, s.Jobs.Submit(ctx, job))
+	s.refuseKnown(ctx, rc, &job, refusal)
+}
+
+// refuseKnown refuses a job because of the configuration in force, unless it was
+// admitted under an earlier one: then its caller gets its answer.
+func (s *Server) refuseKnown(ctx context.Context, rc *app.RequestContext, job *describer.Job, refusal *refuser.Refusal) {
+	answer, running := s.Jobs.Inquire(ctx, job.Submission, job.Created, false)
+	switch {
+	case running:
+		writeRunning(rc, job.Submission)
+	case answer.Refusal == nil:
+		writeAnswer(rc, job.Submission, answer)
+	default:
+		refusal.NotRun = answer.Refusal.NotRun
+		writeRefusal(rc, refusal)
+	}
 }
 
 func (s *Server) getJob(ctx context.Context, rc *app.RequestContext) {
@@ -84,13 +104,10 @@
 
 func (s *Server) inquire(ctx context.Context, rc *app.RequestContext, cancel bool) {
 	sub := identifier.Submission{Workspace: rc.Query("workspace"), Key: rc.Param("key")}
-	if s.Workspaces[sub.Workspace] == nil {
-		writeRefusal(rc, unknownWorkspace(sub.Workspace))
-		return
-	}
-	answer, running := s.Jobs.Inquire(ctx, sub, cancel)
+	created, _ := identifier.Created(sub.Key)
+	answer, running := s.Jobs.Inquire(ctx, sub, created, cancel)
 	if running {
-		rc.JSON(consts.StatusAccepted, jobBody{Workspace: sub.Workspace, Key: sub.Key, Status: statusRunning})
+		writeRunning(rc, sub)
 		return
 	}
 	writeAnswer(rc, sub, answer)
--- a/internal/job/admitter/admitter.go
+++ b/internal/job/admitter/admitter.go
@@ -66,6 +66,12 @@
 	return kept, New, nil
 }
 
+// Remembers reports whether an identity created at that time would still be known
+// if it had been admitted.
+func (b *Book[T]) Remembers(now, created time.Time) bool {
+	return now.Before(created.Add(b.Retention))
+}
+
 // Find returns what is kept for a submission.
 func (b *Book[T]) Find(s identifier.Submission) (T, bool) {
 	p, ok := b.pages[s]
@@ -105,7 +111,7 @@
 }
 
 func (b *Book[T]) checkAge(now time.Time, job *describer.Job) *refuser.Refusal {
-	if !now.Before(job.Created.Add(b.Retention)) {
+	if !b.Remembers(now, job.Created) {
 		return &refuser.Refusal{
 			Kind:   refuser.IdentityExpired,
 			Detail: "the identity " + job.Submission.String() + " was created more than " + b.Retention.String() + " ago, and whether it ran is no longer known",
--- a/internal/job/owner/holding.go
+++ b/internal/job/owner/holding.go
@@ -148,8 +148,8 @@
 	return ok && known != digest
 }
 
-// knows reports whether the job may have been admitted by an earlier owner.
-func (h *holding) knows(j *describer.Job) bool {
-	_, ok := h.digests[j.Submission]
-	return ok || h.uncertain(j.Created)
+// knows reports whether a submission may have been admitted by an earlier owner.
+func (h *holding) knows(s identifier.Submission, created time.Time) bool {
+	_, ok := h.digests[s]
+	return ok || h.uncertain(created)
 }
--- a/internal/job/owner/messages.go
+++ b/internal/job/owner/messages.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"time"
+
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
 )
@@ -20,7 +22,9 @@
 
 	Sequence   uint64
 	Submission identifier.Submission
-	Cancel     bool
+	// Created is when the identity was made, zero when that is not known.
+	Created time.Time
+	Cancel  bool
 }
 
 // Reply answers a Submit or an Inquire.
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -37,6 +37,7 @@
 type Owner struct {
 	settings Settings
 	tenure   time.Time
+	word     time.Time
 	holdings map[identifier.Partition]*holding
 	book     admitter.Book[*job]
 	queue    dispatcher.Queue
@@ -68,10 +69,12 @@
 	return o
 }
 
-// Confirm sets the end of the owner's tenure. Until then, and not after, it
-// starts work.
-func (o *Owner) Confirm(now, until time.Time) []Effect {
-	o.tenure = until
+// Confirm sets the end of the owner's tenure and that of its word. Until the end
+// of its tenure, and not after, it starts work. Until the end of its word it can
+// say that something was not run: no later owner serves before that.
+func (o *Owner) Confirm(now, tenure, word time.Time) []Effect {
+	o.tenure = tenure
+	o.word = word
 	o.dispatch(now)
 	return o.flush()
 }
@@ -97,19 +100,21 @@
 
 // Inquire answers at once what is known of a job, after cancelling what has not
 // started if it was asked to.
-func (o *Owner) Inquire(now time.Time, from Request, s identifier.Submission, cancel bool) []Effect {
-	h := o.holdings[s.Partition(o.settings.Partitions)]
+func (o *Owner) Inquire(now time.Time, from Request, m *Inquire) []Effect {
+	h := o.holdings[m.Submission.Partition(o.settings.Partitions)]
 	if h == nil {
 		o.tell(from, Reply{Moved: true})
 		return o.flush()
 	}
-	j, ok := o.book.Find(s)
+	j, ok := o.book.Find(m.Submission)
 	if !ok {
-		o.tell(from, Reply{Answer: describer.Answer{Refusal: unknownJob(s)}})
+		r := unknownJob(m.Submission)
+		r.NotRun = h.serving && o.book.Remembers(now, m.Created) && !h.knows(m.Submission, m.Created)
+		o.refuse(now, from, r)
 		return o.flush()
 	}
-	if cancel {
-		o.giveUp(j, describer.Pending, "cancelled by the caller")
+	if m.Cancel {
+		o.giveUp(now, j, describer.Pending, "cancelled by the caller")
 	}
 	if j.ended {
 		o.tell(from, Reply{Answer: j.answer})
@@ -128,7 +133,7 @@
 		if j == nil {
 			break
 		}
-		o.giveUp(j, describer.MayHaveRun, "the deadline passed")
+		o.giveUp(now, j, describer.MayHaveRun, "the deadline passed")
 	}
 	o.book.Expire(now)
 	for _, h := range o.holdings {
@@ -165,18 +170,18 @@
 func (o *Owner) admit(now time.Time, h *holding, from Request, described describer.Job) {
 	digest := described.Digest()
 	if h.contradicts(described.Submission, digest) {
-		o.refuse(from, admitter.Reused(described.Submission))
+		o.refuse(now, from, admitter.Reused(described.Submission))
 		return
 	}
 	if r := o.checkLoad(h, &described); r != nil {
-		o.refuse(from, r)
+		o.refuse(now, from, r)
 		return
 	}
 	open := func() *job { return newJob(now, described, digest) }
 	j, verdict, r := o.book.Admit(now, &described, digest, open)
 	switch {
 	case verdict == admitter.Refused:
-		o.refuse(from, r)
+		o.refuse(now, from, r)
 	case verdict == admitter.Joined && j.ended:
 		o.Counters.Joined++
 		o.tell(from, Reply{Answer: j.answer})
@@ -301,14 +306,14 @@
 
 // giveUp ends the tasks of a job that have not started, and those that have with
 // the given outcome; Pending leaves them running.
-func (o *Owner) giveUp(j *job, started describer.Outcome, why string) {
+func (o *Owner) giveUp(now time.Time, j *job, started describer.Outcome, why string) {
 	for i := range j.tasks {
 		if j.ended {
 			return
 		}
 		switch j.tasks[i].state {
 		case waiting:
-			o.end(j, i, describer.Result{Outcome: describer.NotRun, Detail: why})
+			o.end(j, i, o.notRun(now, why))
 		case sent:
 			if started != describer.Pending {
 				o.end(j, i, describer.Result{Outcome: started, Detail: why})
@@ -317,9 +322,18 @@
 	}
 }
 
+// notRun is the result of a task that this owner did not start and never will. A
+// later owner may have, once this one's word is over.
+func (o *Owner) notRun(now time.Time, why string) describer.Result {
+	if !now.Before(o.word) {
+		return describer.Result{Outcome: describer.MayHaveRun, Detail: why + ", and the ownership was not confirmed"}
+	}
+	return describer.Result{Outcome: describer.NotRun, Detail: why}
+}
+
 // checkLoad refuses a new job that would wait longer than its caller does.
 func (o *Owner) checkLoad(h *holding, j *describer.Job) *refuser.Refusal {
-	if _, known := o.book.Find(j.Submission); known || h.knows(j) {
+	if _, known := o.book.Find(j.Submission); known || h.knows(j.Submission, j.Created) {
 		return nil
 	}
 	if o.queue.Len()+len(j.Inputs) > o.settings.MaxWaiting {
@@ -337,8 +351,10 @@
 	return nil
 }
 
-func (o *Owner) refuse(to Request, r *refuser.Refusal) {
+// refuse passes on a refusal, with its promise only while the word lasts.
+func (o *Owner) refuse(now time.Time, to Request, r *refuser.Refusal) {
 	o.Counters.Refused++
+	r.NotRun = r.NotRun && now.Before(o.word)
 	o.tell(to, Reply{Answer: describer.Answer{Refusal: r}})
 }
 
--- a/internal/job/owner/owner_test.go
+++ b/internal/job/owner/owner_test.go
@@ -31,7 +31,7 @@
 
 // step knows these lines:
 //
-//	claim EPOCH; serve EPOCH [cutoff]; lose; confirm DURATION; tick
+//	claim EPOCH; serve EPOCH [cutoff]; lose; confirm TENURE [WORD]; tick
 //	submit KEY TASKS [normal] [budget=D] [age=D] [text=T] [workspace=W]
 //	cancel KEY; get KEY
 //	link AGENT INCARNATION; unlink AGENT; left AGENT
@@ -56,14 +56,19 @@
 	case "lose":
 		return show(d.o.Lose(0))
 	case "confirm":
-		return show(d.o.Confirm(now, now.Add(scripter.Duration(t, args[0]))))
+		until := now.Add(scripter.Duration(t, args[0]))
+		word := until
+		if args[1] != "" {
+			word = now.Add(scripter.Duration(t, args[1]))
+		}
+		return show(d.o.Confirm(now, until, word))
 	case "tick":
 		return show(d.o.Tick(now))
 	case "submit":
 		return show(d.o.Submit(now, d.request(), readJob(t, now, words[1:])))
 	case "get", "cancel":
-		s := identifier.Submission{Workspace: "w", Key: args[0]}
-		return show(d.o.Inquire(now, d.request(), s, words[0] == "cancel"))
+		m := &Inquire{Submission: identifier.Submission{Workspace: "w", Key: args[0]}, Created: scripter.Epoch, Cancel: words[0] == "cancel"}
+		return show(d.o.Inquire(now, d.request(), m))
 	case "link":
 		return show(d.o.AgentLinked(agent, incarnation))
 	case "unlink":
--- a/internal/member/sealer/sealer.go
+++ b/internal/member/sealer/sealer.go
@@ -16,6 +16,9 @@
 type Takeover struct {
 	Claims []starter.Claim
 
+	// spokenAt is when the earlier owner can no longer say that something was not
+	// run.
+	spokenAt time.Time
 	// silentAt is when an agent that has not answered can no longer start work
 	// for the earlier owner.
 	silentAt time.Time
@@ -26,11 +29,12 @@
 
 // New begins a takeover of claims that were observed in the table service at now.
 // The roster must have been read after the claims were written: an agent that
-// registers later reads the claims itself. Tenure is the longest that the
-// earlier owner can have been confirmed for, with an allowance for clock drift.
-func New(now time.Time, claims []starter.Claim, roster []announcer.Member, tenure, retention time.Duration) *Takeover {
+// registers later reads the claims itself. Tenure and word are the longest that
+// the earlier owner can have been confirmed for, with an allowance for clock drift.
+func New(now time.Time, claims []starter.Claim, roster []announcer.Member, tenure, word, retention time.Duration) *Takeover {
 	t := &Takeover{
 		Claims:   claims,
+		spokenAt: now.Add(word),
 		silentAt: now.Add(tenure),
 		missing:  make(map[identifier.Agent]identifier.Incarnation),
 	}
@@ -80,6 +84,9 @@
 // Done reports whether the partitions may be served, and whether the record of
 // some agent is lost.
 func (t *Takeover) Done(now time.Time) (done, cautious bool) {
+	if now.Before(t.spokenAt) {
+		return false, false
+	}
 	if len(t.missing) == 0 {
 		return true, t.cautious
 	}
--- a/internal/member/sealer/sealer_test.go
+++ b/internal/member/sealer/sealer_test.go
@@ -45,7 +45,7 @@
 		}
 		roster = append(roster, m)
 	}
-	return New(now, []starter.Claim{{Partition: 3, Epoch: 5}}, roster, 3*time.Second, time.Minute)
+	return New(now, []starter.Claim{{Partition: 3, Epoch: 5}}, roster, 3*time.Second, time.Second, time.Minute)
 }
 
 // step knows these lines: linked AGENT INCARNATION, sealed AGENT INCARNATION EPOCH,
