--- a/cmd/dandeliongrade/config.go
+++ b/cmd/dandeliongrade/config.go
@@ -37,15 +37,10 @@
 func checkFiles(cmd *cli.Command) error {
 	var all checker.Faults
 	for _, file := range cmd.Args().Slice() {
-		err := loader.Check(file)
-		var faults checker.Faults
-		if errors.As(err, &faults) {
+		if faults := loader.Check(file); len(faults) > 0 {
 			all = append(all, faults...)
 			continue
 		}
-		if err != nil {
-			return &usageError{err}
-		}
 		fmt.Fprintf(cmd.Root().Writer, "%s: ok\n", file)
 	}
 	return all.Err()
--- a/cmd/dandeliongrade/process_test.go
+++ b/cmd/dandeliongrade/process_test.go
@@ -32,6 +32,18 @@
 	os.Exit(m.Run())
 }
 
+// testBinary returns the path of this binary, which runs as the program when it is
+// started with programEnv.
+func testBinary(t *testing.T) string {
+	path, err := os.Executable()
+	assert.NilError(t, err)
+	return path
+}
+
+func programEnv() []string {
+	return append(os.Environ(), roleVariable+"=1")
+}
+
 // process is a role that runs as a process of its own.
 type process struct {
 	cmd *exec.Cmd
@@ -111,8 +123,8 @@
 	file := filepath.Join(c.dir, name+".jsonc")
 	text := fmt.Sprintf("{\"role\": %q, %s}", role, settings)
 	assert.NilError(c.t, os.WriteFile(file, bytes.ReplaceAll([]byte(text), []byte("IP"), []byte(c.ip)), 0o600))
-	p := &process{cmd: exec.Command(os.Args[0], role, file), ended: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), roleVariable+"=1")
+	p := &process{cmd: exec.Command(testBinary(c.t), role, file), ended: make(chan struct{})}
+	p.cmd.Env = programEnv()
 	p.cmd.Stderr = &p.log
 	assert.NilError(c.t, p.cmd.Start())
 	go func() {
--- a/internal/config/loader/loader.go
+++ b/internal/config/loader/loader.go
@@ -7,8 +7,6 @@
 	"os"
 	"strings"
 
-	"github.com/pkg/errors"
-
 	"github.com/dandeliongrade/dandeliongrade/internal/config/checker"
 )
 
@@ -40,7 +38,7 @@
 func Load(file string, settings Settings) error {
 	src, err := os.ReadFile(file)
 	if err != nil {
-		return errors.Wrap(err, "read the settings; name a file that exists")
+		return unreadable(file, err)
 	}
 	return Parse(file, src, settings).Err()
 }
@@ -55,20 +53,24 @@
 }
 
 // Check finds the faults of a settings file of any role.
-func Check(file string) error {
+func Check(file string) checker.Faults {
 	src, err := os.ReadFile(file)
 	if err != nil {
-		return errors.Wrap(err, "read the settings; name a file that exists")
+		return unreadable(file, err)
 	}
 	for _, s := range []Settings{DefaultEntry(), DefaultAgent(), DefaultPlatform(), DefaultBackend()} {
 		faults := Parse(file, src, s)
 		if !otherRole(faults) {
-			return faults.Err()
+			return faults
 		}
 	}
 	return unknownRole(file, src)
 }
 
+func unreadable(file string, err error) checker.Faults {
+	return checker.Faults{{File: file, Line: 1, Column: 1, Problem: "it cannot be read: " + err.Error(), Remedy: "name a file that exists"}}
+}
+
 // otherRole reports whether the file names another role than it was read for, or
 // none.
 func otherRole(faults checker.Faults) bool {
@@ -80,7 +82,7 @@
 	return false
 }
 
-func unknownRole(file string, src []byte) error {
+func unknownRole(file string, src []byte) checker.Faults {
 	var role string
 	roles := []string{string(RoleEntry), string(RoleAgent), string(RolePlatform), string(RoleBackend)}
 	faults := checker.Check(file, src, checker.Object{
@@ -92,5 +94,5 @@
 			kept = append(kept, f)
 		}
 	}
-	return kept.Err()
+	return kept
 }
