Hand a partition over when its owner lives; find entries that nobody told of

Cause: two failures of the process tests. An agent that had registered while there was one entry was stranded when that entry died before it had told of the second: it could not be sealed, so the takeover waited for a whole tenure and called its tasks uncertain. And when an agent was frozen while a new entry took its share from a live one, the same happened without any death. Change: an agent with an entry that it cannot link reads the assignment again, at varied and growing pauses. A new entry takes from others only after the agents have had time to link to it. An owner that loses a partition hands over what it knows: every start that it may have caused, and its answers; the next owner then needs no agent's record, so planned moves and stops neither wait nor lose evidence, and answers survive them. It asks the agents about starts that were on their way. Ruled out: waiting in the takeover for the old owner's tenure, which is slower and answers nothing about the starts in flight. Also: errors are logged as one line without a trace; a deposed owner reads the assignment as soon as an agent fences it off. Conclusion: caution is left for owners that die, as it has to be.

--- a/internal/agent/runner/register.go
+++ b/internal/agent/runner/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -13,11 +14,18 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/claimer"
 	"github.com/dandeliongrade/dandeliongrade/internal/platform/keeper"
+	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 )
 
 // registerPause is the wait before the table service is asked again.
 const registerPause = 200 * time.Millisecond
 
+// The pauses between two readings of the assignment while a link is missing.
+const (
+	firstRelearnPause = 500 * time.Millisecond
+	lastRelearnPause  = 8 * time.Second
+)
+
 // leaveTimeout bounds the try to record that the agent has left.
 const leaveTimeout = 2 * time.Second
 
@@ -37,7 +45,10 @@
 	if err != nil {
 		return member, err
 	}
-	return member, r.insist(ctx, func() error { return r.learn(ctx, member.Incarnation) })
+	r.mu.Lock()
+	r.starter.Incarnation = member.Incarnation
+	r.mu.Unlock()
+	return member, r.insist(ctx, func() error { return r.learn(ctx) })
 }
 
 // insist calls try until it succeeds or ctx ends.
@@ -47,7 +58,7 @@
 		if err == nil {
 			return nil
 		}
-		r.log.Warn("register_failed", zap.Error(err))
+		r.log.Warn("register_failed", logger.Error(err))
 		select {
 		case <-time.After(registerPause):
 		case <-ctx.Done():
@@ -98,7 +109,7 @@
 }
 
 // learn reads the assignment for the fences and the entries to link to.
-func (r *Runner) learn(ctx context.Context, incarnation identifier.Incarnation) error {
+func (r *Runner) learn(ctx context.Context) error {
 	record, err := r.edges.Table.Get(ctx, claimer.Key)
 	if err != nil {
 		return errors.Wrap(err, "read the assignment; start an entry")
@@ -109,15 +120,48 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.starter.Incarnation = incarnation
 	for i, o := range a.Partitions {
 		r.starter.Fence(o.Owner, starter.Claim{Partition: identifier.Partition(i), Epoch: o.Epoch})
 	}
-	r.log.Info("registered", zap.Uint64("incarnation", uint64(incarnation)), zap.Int("entries", len(a.Entries)))
+	r.log.Info("learned", zap.Uint64("incarnation", uint64(r.starter.Incarnation)), zap.Uint64("version", record.Version), zap.Int("entries", len(a.Entries)))
 	r.follow(record.Version, a.Peers())
 	return nil
 }
 
+// relearn reads the assignment again while an entry that is listed cannot be
+// linked, until ctx ends: a newer list may stand there of which no linked entry has
+// told, because the only one that could has died. The pauses vary and grow, for all
+// agents lose the link to a dead entry at once.
+func (r *Runner) relearn(ctx context.Context) {
+	pause := firstRelearnPause
+	for {
+		select {
+		case <-time.After(pause/2 + rand.N(pause)):
+		case <-ctx.Done():
+			return
+		}
+		if !r.missesLink() {
+			pause = firstRelearnPause
+			continue
+		}
+		pause = min(2*pause, lastRelearnPause)
+		if err := r.learn(ctx); err != nil && ctx.Err() == nil {
+			r.log.Warn("relearn_failed", logger.Error(err))
+		}
+	}
+}
+
+func (r *Runner) missesLink() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.peers {
+		if r.links[p.Entry] == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // recordLeave notes that the agent left with nothing running. When that fails,
 // a later takeover waits for it in vain, and no harm is done.
 func (r *Runner) recordLeave(member announcer.Member) {
@@ -129,6 +173,6 @@
 		err = r.write(ctx, member, record.Version, uuid.NewString())
 	}
 	if err != nil {
-		r.log.Warn("leave_not_recorded", zap.Error(err))
+		r.log.Warn("leave_not_recorded", logger.Error(err))
 	}
 }
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -22,6 +22,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
 	"github.com/dandeliongrade/dandeliongrade/internal/platform/keeper"
+	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 )
 
 // byeWait bounds how long a leaving agent waits for the entries to close their
@@ -74,7 +75,8 @@
 	offerer  *offerer.Offerer
 	links    map[identifier.Entry]*connector.Link
 	sequence uint64
-	// version is that of the newest list of entries.
+	// peers is the newest list of entries, of this version of the assignment.
+	peers   []announcer.Peer
 	version uint64
 	wanted  chan []announcer.Peer
 	ended   chan ending
@@ -126,12 +128,18 @@
 		connector.Keep(background, r.wanted, r.session)
 		close(linked)
 	}()
+	learned := make(chan struct{})
+	go func() {
+		r.relearn(background)
+		close(learned)
+	}()
 	if err := r.life.Ready(); err != nil {
 		return err
 	}
 	r.serve(ctx)
 	r.drain()
 	r.sayBye(linked, stop)
+	<-learned
 	r.recordLeave(member)
 	return nil
 }
@@ -157,7 +165,7 @@
 // drain takes no more work and waits for what runs.
 func (r *Runner) drain() {
 	if err := r.life.Drain(); err != nil {
-		r.log.Error("life_cycle", zap.Error(err))
+		r.log.Error("life_cycle", logger.Error(err))
 	}
 	r.mu.Lock()
 	r.starter.Drain()
@@ -179,7 +187,7 @@
 // have closed their links.
 func (r *Runner) sayBye(linked <-chan struct{}, stop context.CancelFunc) {
 	if err := r.life.Drained(); err != nil {
-		r.log.Error("life_cycle", zap.Error(err))
+		r.log.Error("life_cycle", logger.Error(err))
 	}
 	r.mu.Lock()
 	for _, entry := range r.offerer.Linked() {
@@ -262,6 +270,6 @@
 	}
 	r.counters.sent.Inc()
 	if err := link.Send(message); err != nil {
-		r.log.Error("send_failed", zap.String("entry", string(to)), zap.Error(err))
+		r.log.Error("send_failed", zap.String("entry", string(to)), logger.Error(err))
 	}
 }
--- a/internal/agent/runner/session.go
+++ b/internal/agent/runner/session.go
@@ -10,6 +10,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 )
 
 // session dials one entry and handles what it says until the link ends. It
@@ -19,7 +20,7 @@
 	link, welcome, err := connector.Dial(ctx, r.edges.Dial, p.Link, r.settings.Timing, hello)
 	if err != nil {
 		if ctx.Err() == nil {
-			r.log.Warn("dial_failed", zap.String("entry", string(p.Entry)), zap.Error(err))
+			r.log.Warn("dial_failed", zap.String("entry", string(p.Entry)), logger.Error(err))
 		}
 		return false
 	}
@@ -31,7 +32,7 @@
 	r.link(p.Entry, link)
 	err = link.Run(ctx, func(message any) error { return r.handle(p.Entry, message) })
 	r.unlink(p.Entry)
-	r.log.Info("unlinked", zap.String("entry", string(p.Entry)), zap.Error(err))
+	r.log.Info("unlinked", zap.String("entry", string(p.Entry)), logger.Error(err))
 	return true
 }
 
@@ -135,6 +136,7 @@
 		return
 	}
 	r.version = version
+	r.peers = entries
 	select {
 	case <-r.wanted:
 	default:
--- a/internal/core/identifier/identifier.go
+++ b/internal/core/identifier/identifier.go
@@ -28,6 +28,11 @@
 	return s.Workspace + "/" + s.Key
 }
 
+// Compare orders submissions by workspace and key.
+func (s Submission) Compare(other Submission) int {
+	return cmp.Or(cmp.Compare(s.Workspace, other.Workspace), cmp.Compare(s.Key, other.Key))
+}
+
 // Partition returns the partition of s among count partitions.
 func (s Submission) Partition(count int) Partition {
 	var d xxhash.Digest
@@ -50,13 +55,9 @@
 	return t.Submission.String() + "#" + strconv.Itoa(t.Index)
 }
 
-// Compare orders tasks by workspace, key and index.
+// Compare orders tasks by submission and index.
 func (t Task) Compare(other Task) int {
-	return cmp.Or(
-		cmp.Compare(t.Submission.Workspace, other.Submission.Workspace),
-		cmp.Compare(t.Submission.Key, other.Submission.Key),
-		cmp.Compare(t.Index, other.Index),
-	)
+	return cmp.Or(t.Submission.Compare(other.Submission), cmp.Compare(t.Index, other.Index))
 }
 
 // Partition numbers a share of all submissions, from zero.
--- a/internal/entry/runner/follow.go
+++ b/internal/entry/runner/follow.go
@@ -9,12 +9,14 @@
 	"go.uber.org/zap"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/owner"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/claimer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/sealer"
 	"github.com/dandeliongrade/dandeliongrade/internal/platform/keeper"
+	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 )
 
 // driftDivisor bounds how far two machines' clocks may drift apart during a
@@ -33,7 +35,7 @@
 	for {
 		woken := r.woken
 		if err := r.refresh(ctx); err != nil && ctx.Err() == nil {
-			r.log.Warn("assignment_unread", zap.Error(err))
+			r.log.Warn("assignment_unread", logger.Error(err))
 			woken = nil
 		}
 		select {
@@ -93,6 +95,7 @@
 		return nil, nil
 	}
 	for _, p := range change.Lost {
+		r.handOver(p)
 		r.perform(r.owner.Lose(p))
 	}
 	claims := r.claim(now, change.Claimed)
@@ -106,6 +109,32 @@
 	return claims, nil
 }
 
+// handOver passes a lost partition to its new owner, if that is linked. The new
+// owner does without when it is not.
+func (r *Runner) handOver(p identifier.Partition) {
+	link := r.dialled[r.claimer.Owner(p)]
+	if link == nil {
+		return
+	}
+	for _, m := range r.owner.Hand(p) {
+		r.sendOn(link, m)
+	}
+}
+
+// takeHandover adds a handover to the evidence, and serves the partition when that
+// is complete. The agents are sealed all the same: they report to the new owner
+// then, and refuse the earlier one.
+func (r *Runner) takeHandover(now time.Time, m *owner.Handover) {
+	if !r.owner.Take(m) {
+		return
+	}
+	for _, t := range r.takeovers {
+		t.Handed(m.Partition)
+	}
+	claim := starter.Claim{Partition: m.Partition, Epoch: m.Epoch + 1}
+	r.perform(r.owner.Serve(now, claim, m.Cutoff))
+}
+
 // claim begins to own partitions, and serves those that never had an owner.
 func (r *Runner) claim(now time.Time, claimed []claimer.Claimed) []starter.Claim {
 	var claims []starter.Claim
@@ -226,10 +255,11 @@
 		if cautious {
 			cutoff = now.Add(r.settings.ClockBound)
 		}
-		for _, c := range t.Claims {
+		claims := t.Open()
+		for _, c := range claims {
 			r.perform(r.owner.Serve(now, c, cutoff))
 		}
-		r.log.Info("taken_over", zap.Int("partitions", len(t.Claims)), zap.Bool("cautious", cautious))
+		r.log.Info("taken_over", zap.Int("handed", len(t.Claims)-len(claims)), zap.Int("sealed", len(claims)), zap.Bool("cautious", cautious))
 	}
 	r.takeovers = open
 }
@@ -238,7 +268,7 @@
 // nobody takes them.
 func (r *Runner) leave() {
 	if err := r.life.Drain(); err != nil {
-		r.log.Error("life_cycle", zap.Error(err))
+		r.log.Error("life_cycle", logger.Error(err))
 	}
 	r.mu.Lock()
 	r.claimer.Leave()
--- a/internal/entry/runner/links.go
+++ b/internal/entry/runner/links.go
@@ -12,6 +12,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 )
 
 // accept is the task of one connection that another process dialled.
@@ -22,7 +23,7 @@
 	link, hello, err := connector.Accept(conn, r.settings.Timing, welcome)
 	if err != nil {
 		_ = conn.Close()
-		r.log.Warn("link_refused", zap.String("from", conn.RemoteAddr().String()), zap.Error(err))
+		r.log.Warn("link_refused", zap.String("from", conn.RemoteAddr().String()), logger.Error(err))
 		return
 	}
 	if hello.Agent != "" {
@@ -42,7 +43,7 @@
 		delete(r.agents, hello.Agent)
 		r.owner.AgentLost(hello.Agent)
 	}
-	r.log.Info("agent_unlinked", zap.String("agent", string(hello.Agent)), zap.Error(err))
+	r.log.Info("agent_unlinked", zap.String("agent", string(hello.Agent)), logger.Error(err))
 }
 
 func (r *Runner) linkAgent(link *connector.Link, hello announcer.Hello) {
@@ -78,6 +79,9 @@
 	case *starter.Ended:
 		r.perform(r.owner.Ended(now, agent, m))
 	case *starter.NotStarted:
+		if m.Reason == starter.Fenced {
+			r.wake()
+		}
 		r.perform(r.owner.NotStarted(now, agent, m))
 	case *starter.Revoked:
 		r.perform(r.owner.Revoked(now, agent, m))
@@ -100,7 +104,7 @@
 func (r *Runner) sealed(agent identifier.Agent, m *starter.Sealed) {
 	for _, t := range r.takeovers {
 		if t.Sealed(agent, m) {
-			r.owner.Sealed(agent, m)
+			r.perform(r.owner.Sealed(agent, m))
 		}
 	}
 	r.checkTakeovers(r.clock())
@@ -120,7 +124,7 @@
 	if r.accepted[from] == link {
 		delete(r.accepted, from)
 	}
-	r.log.Info("entry_unlinked", zap.String("entry", string(from)), zap.Error(err))
+	r.log.Info("entry_unlinked", zap.String("entry", string(from)), logger.Error(err))
 }
 
 func (r *Runner) handleEntry(from identifier.Entry, link *connector.Link, message any) error {
@@ -136,6 +140,8 @@
 	case *announcer.Heartbeat:
 	case *owner.Submit:
 		r.perform(r.owner.Submit(now, owner.Request{Entry: from, Sequence: m.Sequence}, m.Job))
+	case *owner.Handover:
+		r.takeHandover(now, m)
 	case *owner.Inquire:
 		r.perform(r.owner.Inquire(now, owner.Request{Entry: from, Sequence: m.Sequence}, m))
 	default:
@@ -160,7 +166,7 @@
 	r.setDialled(p.Entry, link)
 	err = link.Run(ctx, func(message any) error { return r.handleReply(p.Entry, message) })
 	r.setDialled(p.Entry, nil)
-	r.log.Info("entry_lost", zap.String("entry", string(p.Entry)), zap.Error(err))
+	r.log.Info("entry_lost", zap.String("entry", string(p.Entry)), logger.Error(err))
 	return true
 }
 
--- a/internal/entry/runner/runner.go
+++ b/internal/entry/runner/runner.go
@@ -21,11 +21,17 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/sealer"
 	"github.com/dandeliongrade/dandeliongrade/internal/platform/keeper"
+	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 )
 
 // tickPause is the time between two looks at deadlines and takeovers.
 const tickPause = 50 * time.Millisecond
 
+// settleRefreshes is how many readings of the assignment a new entry lets pass
+// before it takes work from others: one for them to see it and tell their agents,
+// one for the agents to link, and one to spare.
+const settleRefreshes = 3
+
 // Table is the platform's table service.
 type Table interface {
 	Get(ctx context.Context, key string) (keeper.Record, error)
@@ -98,6 +104,7 @@
 			Member:     claimer.Member{Link: settings.Link, DataCentre: settings.DataCentre},
 			Partitions: settings.Partitions,
 			Silence:    settings.Timing.Silence,
+			Settle:     settleRefreshes * settings.Refresh,
 		},
 		agents:   make(map[identifier.Agent]agentLink),
 		dialled:  make(map[identifier.Entry]*connector.Link),
@@ -206,7 +213,7 @@
 	}
 	r.counters.sent.Inc()
 	if err := link.Send(message); err != nil {
-		r.log.Error("send_failed", zap.Error(err))
+		r.log.Error("send_failed", logger.Error(err))
 	}
 }
 
--- a/internal/job/owner/agents.go
+++ b/internal/job/owner/agents.go
@@ -27,7 +27,7 @@
 		}
 		o.settle(agent, incarnation, j, name)
 	}
-	o.settleEvidence(agent, incarnation)
+	o.settleEvidence(agent)
 	return o.flush()
 }
 
@@ -52,29 +52,45 @@
 
 // settleEvidence does the same for the tasks of earlier owners that nobody has
 // asked for yet.
-func (o *Owner) settleEvidence(agent identifier.Agent, incarnation identifier.Incarnation) {
+func (o *Owner) settleEvidence(agent identifier.Agent) {
 	for p, h := range o.holdings {
 		for _, name := range sortedTasks(h.evidence) {
-			e := h.evidence[name]
-			if e.agent != agent || e.result.Outcome != describer.Pending {
-				continue
+			if e := h.evidence[name]; e.agent == agent {
+				o.settleRecord(p, h, name, e)
 			}
-			if e.incarnation != incarnation {
-				e.result = lostAgent()
-				h.evidence[name] = e
-				continue
-			}
-			o.send(agent, &starter.Revoke{
-				Incarnation: incarnation,
-				Partition:   p,
-				Epoch:       h.epoch,
-				Task:        name,
-				Attempt:     e.attempt,
-			})
 		}
 	}
 }
 
+// askEvidence asks every linked agent about the tasks that an earlier owner had
+// sent to it. That owner may have handed over a start that was still on its way, or
+// that the agent has refused since.
+func (o *Owner) askEvidence(p identifier.Partition, h *holding) {
+	for _, name := range sortedTasks(h.evidence) {
+		o.settleRecord(p, h, name, h.evidence[name])
+	}
+}
+
+func (o *Owner) settleRecord(p identifier.Partition, h *holding, name identifier.Task, e evidence) {
+	w := o.pool.Worker(e.agent)
+	if w == nil || e.free || e.result.Outcome != describer.Pending {
+		return
+	}
+	if w.Incarnation != e.incarnation {
+		e.result = lostAgent()
+		h.evidence[name] = e
+		return
+	}
+	o.Counters.Revokes++
+	o.send(e.agent, &starter.Revoke{
+		Incarnation: e.incarnation,
+		Partition:   p,
+		Epoch:       h.epoch,
+		Task:        name,
+		Attempt:     e.attempt,
+	})
+}
+
 // sortedTasks returns the keys in a fixed order, so that equal histories lead to
 // equal messages.
 func sortedTasks[V any](m map[identifier.Task]V) []identifier.Task {
@@ -145,8 +161,8 @@
 	if t != nil && t.attempt == m.Attempt && m.Reason != starter.Repeated {
 		o.requeue(j, m.Task)
 	}
-	if h, _, ok := o.findEvidence(agent, m.Incarnation, m.Task); ok && m.Reason == starter.Unreachable {
-		delete(h.evidence, m.Task)
+	if m.Reason == starter.Unreachable {
+		o.freeEvidence(agent, m.Incarnation, m.Task)
 	}
 	return o.flush()
 }
@@ -158,16 +174,28 @@
 	case t == nil || t.attempt != m.Attempt:
 	case !m.Started:
 		o.requeue(j, m.Task)
-	case m.Result.Outcome != describer.Pending:
-		o.end(j, m.Task.Index, m.Result)
 	}
 	if m.Started {
-		o.addEvidence(agent, m.Incarnation, m.Task, m.Result)
+		o.settleEnd(agent, m.Incarnation, m.Task, m.Result)
+	} else {
+		o.freeEvidence(agent, m.Incarnation, m.Task)
 	}
 	o.dispatch(now)
 	return o.flush()
 }
 
+// settleEnd takes what an agent has on record of a task; a pending result changes
+// nothing.
+func (o *Owner) settleEnd(agent identifier.Agent, incarnation identifier.Incarnation, name identifier.Task, r describer.Result) {
+	if r.Outcome == describer.Pending {
+		return
+	}
+	if j, t := o.findSent(agent, incarnation, name); t != nil {
+		o.end(j, name.Index, r)
+	}
+	o.addEvidence(agent, incarnation, name, r)
+}
+
 func (o *Owner) requeue(j *job, name identifier.Task) {
 	t := &j.tasks[name.Index]
 	o.unmarkSent(t.agent, name)
@@ -199,6 +227,15 @@
 	}
 }
 
+// freeEvidence notes that a task which an earlier owner had sent never started.
+func (o *Owner) freeEvidence(agent identifier.Agent, incarnation identifier.Incarnation, name identifier.Task) {
+	h, e, ok := o.findEvidence(agent, incarnation, name)
+	if ok && e.result.Outcome == describer.Pending {
+		e.free = true
+		h.evidence[name] = e
+	}
+}
+
 func (o *Owner) findEvidence(agent identifier.Agent, incarnation identifier.Incarnation, name identifier.Task) (*holding, evidence, bool) {
 	h := o.holdings[name.Submission.Partition(o.settings.Partitions)]
 	if h == nil {
--- /dev/null
+++ b/internal/job/owner/handover.go
@@ -0,0 +1,120 @@
+package owner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
+)
+
+// Handover passes what an owner knows of a partition to the next one. Together
+// with the first message, those up to the one that is marked as the last name
+// every start that the owner, or those before it, may have caused. The next owner
+// then needs no agent's record.
+type Handover struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Partition identifier.Partition
+	// Epoch is that of the owner who hands over.
+	Epoch identifier.Epoch
+	// Cutoff is zero, or the time up to which starts were unknown to that owner.
+	Cutoff  time.Time
+	Records []Handed
+	Last    bool
+}
+
+// Handed is a submission of which tasks were started or ended.
+type Handed struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Submission identifier.Submission
+	Digest     uint64
+	Tasks      []HandedTask
+}
+
+// HandedTask is a task that was sent to an agent or has ended. Its result is
+// pending while it may run.
+type HandedTask struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Index       int
+	Agent       identifier.Agent
+	Incarnation identifier.Incarnation
+	Attempt     uint32
+	Result      describer.Result
+}
+
+// handoverSize is how many submissions go into one message.
+const handoverSize = 64
+
+// Hand returns the handover of a partition that is about to be lost. There is none
+// of a partition that is not served: its evidence is not complete.
+func (o *Owner) Hand(p identifier.Partition) []*Handover {
+	h := o.holdings[p]
+	if h == nil || !h.serving {
+		return nil
+	}
+	records := o.handRecords(p, h)
+	var messages []*Handover
+	for chunk := range slices.Chunk(records, handoverSize) {
+		messages = append(messages, &Handover{Partition: p, Epoch: h.epoch, Cutoff: h.cutoff, Records: chunk})
+	}
+	return append(messages, &Handover{Partition: p, Epoch: h.epoch, Cutoff: h.cutoff, Last: true})
+}
+
+func (o *Owner) handRecords(p identifier.Partition, h *holding) []Handed {
+	handed := make(map[identifier.Submission]Handed)
+	for name, e := range h.evidence {
+		if e.free {
+			continue
+		}
+		r := handed[name.Submission]
+		r.Submission, r.Digest = name.Submission, h.digests[name.Submission]
+		r.Tasks = append(r.Tasks, HandedTask{Index: name.Index, Agent: e.agent, Incarnation: e.incarnation, Attempt: e.attempt, Result: e.result})
+		handed[name.Submission] = r
+	}
+	o.book.Each(func(s identifier.Submission, j *job) {
+		if s.Partition(o.settings.Partitions) == p {
+			handed[s] = j.hand()
+		}
+	})
+	records := make([]Handed, 0, len(handed))
+	for _, s := range slices.SortedFunc(maps.Keys(handed), identifier.Submission.Compare) {
+		records = append(records, handed[s])
+	}
+	return records
+}
+
+// hand returns the record of a job. A task that waits has none: it was not started
+// and may be.
+func (j *job) hand() Handed {
+	r := Handed{Submission: j.Submission, Digest: j.digest}
+	for i, result := range j.answer.Results {
+		r.Tasks = append(r.Tasks, HandedTask{Index: i, Result: result})
+	}
+	for i, t := range j.tasks {
+		if t.state != waiting {
+			r.Tasks = append(r.Tasks, HandedTask{Index: i, Agent: t.agent, Incarnation: t.incarnation, Attempt: t.attempt, Result: t.result})
+		}
+	}
+	return r
+}
+
+// Take adds a handover to the evidence of a partition that is claimed and not yet
+// served, and reports whether the evidence is complete with it.
+func (o *Owner) Take(m *Handover) bool {
+	h := o.holdings[m.Partition]
+	if h == nil || h.serving || h.epoch != m.Epoch+1 {
+		return false
+	}
+	for _, r := range m.Records {
+		h.digests[r.Submission] = r.Digest
+		for _, t := range r.Tasks {
+			name := identifier.Task{Submission: r.Submission, Index: t.Index}
+			h.addRecord(name, evidence{agent: t.Agent, incarnation: t.Incarnation, attempt: t.Attempt, result: t.Result})
+		}
+	}
+	return m.Last
+}
--- a/internal/job/owner/holding.go
+++ b/internal/job/owner/holding.go
@@ -29,6 +29,9 @@
 	incarnation identifier.Incarnation
 	attempt     uint32
 	result      describer.Result
+	// free means that the agent has since vouched that the attempt never started
+	// and never will.
+	free bool
 }
 
 // pending is a submission that waits for the partition to be served.
@@ -46,16 +49,31 @@
 	}
 }
 
-// Sealed adds an agent's records to the evidence of the partitions.
-func (o *Owner) Sealed(agent identifier.Agent, m *starter.Sealed) {
+// Sealed adds an agent's records to the evidence of the partitions. When one is
+// served already, because its earlier owner has handed it over, the ends of tasks
+// still count.
+func (o *Owner) Sealed(agent identifier.Agent, m *starter.Sealed) []Effect {
 	for _, r := range m.Records {
 		h := o.holdings[r.Task.Submission.Partition(o.settings.Partitions)]
-		if h == nil || h.serving {
-			continue
+		switch {
+		case h == nil:
+		case h.serving:
+			o.settleEnd(agent, m.Incarnation, r.Task, r.Result)
+		default:
+			h.addRecord(r.Task, evidence{agent: agent, incarnation: m.Incarnation, attempt: r.Attempt, result: r.Result})
+			h.digests[r.Task.Submission] = r.Digest
 		}
-		h.evidence[r.Task] = evidence{agent, m.Incarnation, r.Attempt, r.Result}
-		h.digests[r.Task.Submission] = r.Digest
 	}
+	return o.flush()
+}
+
+// addRecord adds a start to the evidence. Of two reports on one task, that with a
+// result counts.
+func (h *holding) addRecord(name identifier.Task, e evidence) {
+	if known, ok := h.evidence[name]; ok && known.result.Outcome != describer.Pending {
+		return
+	}
+	h.evidence[name] = e
 }
 
 // Serve opens a partition that was claimed. A cutoff that is not zero says that
@@ -68,6 +86,7 @@
 	h.serving = true
 	h.cutoff = cutoff
 	h.expiry = now.Add(o.settings.Retention + o.settings.ClockBound)
+	o.askEvidence(c.Partition, h)
 	pending := h.pending
 	h.pending = nil
 	for _, p := range pending {
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -202,11 +202,13 @@
 	o.deadlines.add(j)
 	for i := range j.tasks {
 		task := identifier.Task{Submission: j.Submission, Index: i}
-		if e, ok := h.evidence[task]; ok {
+		e, known := h.evidence[task]
+		if known && !e.free {
 			o.adopt(j, i, e)
 			continue
 		}
-		if h.uncertain(j.Created) {
+		j.tasks[i].attempt = e.attempt
+		if !known && h.uncertain(j.Created) {
 			o.end(j, i, describer.Result{Outcome: describer.MayHaveRun, Detail: "an agent that may have run it was lost"})
 			continue
 		}
@@ -221,6 +223,10 @@
 		o.end(j, i, e.result)
 		return
 	}
+	if w := o.pool.Worker(e.agent); w != nil && w.Incarnation != e.incarnation {
+		o.end(j, i, lostAgent())
+		return
+	}
 	j.tasks[i] = task{state: sent, attempt: e.attempt, agent: e.agent, incarnation: e.incarnation}
 	o.markSent(e.agent, identifier.Task{Submission: j.Submission, Index: i})
 }
--- a/internal/job/owner/owner_test.go
+++ b/internal/job/owner/owner_test.go
@@ -25,13 +25,15 @@
 
 // driver drives an owner of one partition by the lines of a script.
 type driver struct {
-	o    *Owner
-	last uint64
+	o      *Owner
+	last   uint64
+	handed []*Handover
 }
 
 // step knows these lines:
 //
 //	claim EPOCH; serve EPOCH [cutoff]; lose; confirm TENURE [WORD]; tick
+//	hand; take (the last handover)
 //	submit KEY TASKS [normal] [budget=D] [age=D] [text=T] [workspace=W]
 //	cancel KEY; get KEY
 //	link AGENT INCARNATION; unlink AGENT; left AGENT
@@ -53,6 +55,15 @@
 			cutoff = now
 		}
 		return show(d.o.Serve(now, starter.Claim{Epoch: identifier.Epoch(atoi(args[0]))}, cutoff))
+	case "hand":
+		d.handed = d.o.Hand(0)
+		return showHandover(d.handed)
+	case "take":
+		complete := false
+		for _, m := range d.handed {
+			complete = d.o.Take(m)
+		}
+		return fmt.Sprintf("complete %t", complete)
 	case "lose":
 		return show(d.o.Lose(0))
 	case "confirm":
@@ -80,9 +91,9 @@
 	case "recall":
 		return show(d.o.Recalled(agent, &offerer.Recall{Incarnation: incarnation, Slots: atoi(args[2])}))
 	case "sealed":
-		d.o.Sealed(agent, &starter.Sealed{Incarnation: incarnation, Records: []starter.Record{
+		return show(d.o.Sealed(agent, &starter.Sealed{Incarnation: incarnation, Records: []starter.Record{
 			{Task: task, Attempt: 1, Digest: digest(t, task), Result: describer.Result{Outcome: outcome(t, args[3])}},
-		}})
+		}}))
 	case "ended":
 		return show(d.o.Ended(now, agent, &starter.Ended{Incarnation: incarnation, Task: task, Result: describer.Result{Outcome: outcome(t, args[3])}, Granted: 1}))
 	case "notstarted":
@@ -223,6 +234,20 @@
 	return fmt.Sprintf("%T", m)
 }
 
+func showHandover(messages []*Handover) string {
+	var lines []string
+	for _, m := range messages {
+		line := fmt.Sprintf("handover of epoch %d, cutoff %t, last %t:", m.Epoch, !m.Cutoff.IsZero(), m.Last)
+		for _, r := range m.Records {
+			for _, t := range r.Tasks {
+				line += fmt.Sprintf(" %s#%d(%s %s)", r.Submission, t.Index, t.Agent, t.Result.Outcome)
+			}
+		}
+		lines = append(lines, line)
+	}
+	return strings.Join(lines, "\n")
+}
+
 func TestJobsAreForgottenInFullOnLoss(t *testing.T) {
 	d := &driver{o: New(Settings{Partitions: 1, Retention: time.Minute, MaxWaiting: 10})}
 	d.o.Claim(starter.Claim{Epoch: 1})
--- a/internal/link/encoder/encoder.go
+++ b/internal/link/encoder/encoder.go
@@ -42,6 +42,7 @@
 	20: reflect.TypeFor[owner.Inquire](),
 	21: reflect.TypeFor[owner.Reply](),
 	22: reflect.TypeFor[announcer.Bye](),
+	23: reflect.TypeFor[owner.Handover](),
 }
 
 var codes = func() map[reflect.Type]byte {
--- a/internal/member/claimer/claimer.go
+++ b/internal/member/claimer/claimer.go
@@ -19,10 +19,14 @@
 	Partitions int
 	// Silence is how long another entry may be unheard before it counts as dead.
 	Silence time.Duration
+	// Settle is how long the entry waits after joining before it takes partitions
+	// from entries that serve them, so that the agents have linked to it.
+	Settle time.Duration
 
 	assignment Assignment
 	version    uint64
 	joined     bool
+	joinedAt   time.Time
 	leaving    bool
 	heard      map[identifier.Entry]time.Time
 	owned      map[identifier.Partition]identifier.Epoch
@@ -76,7 +80,11 @@
 		}
 	}
 	c.assignment, c.version = a, version
-	c.joined = a.Entries[c.Self].Incarnation == c.Member.Incarnation
+	joined := a.Entries[c.Self].Incarnation == c.Member.Incarnation
+	if joined && !c.joined {
+		c.joinedAt = now
+	}
+	c.joined = joined
 	return c.compare(), true
 }
 
@@ -118,7 +126,9 @@
 	}
 	live := c.live(now, &next)
 	changed = c.planOrphans(&next, live) || changed
-	changed = c.planBalance(&next, live) || changed
+	if c.joined && now.Sub(c.joinedAt) >= c.Settle {
+		changed = c.planBalance(&next, live) || changed
+	}
 	changed = c.planRemoval(now, &next) || changed
 	return next, changed
 }
--- a/internal/member/claimer/claimer_test.go
+++ b/internal/member/claimer/claimer_test.go
@@ -33,6 +33,7 @@
 
 // step knows these lines:
 //
+//	join E: begins, and reads, plans and writes until E is content
 //	begin E; read E; plan E; write E; leave E; hear E OTHER
 //
 // Plan keeps what the entry wants to write, and write carries it out if the record
@@ -41,6 +42,14 @@
 	name := words[1]
 	c := w.claimers[name]
 	switch words[0] {
+	case "join":
+		w.step(t, now, []string{"begin", name})
+		w.step(t, now, []string{"read", name})
+		for w.step(t, now, []string{"plan", name}) != "content" {
+			w.step(t, now, []string{"write", name})
+			w.step(t, now, []string{"read", name})
+		}
+		return show(w.record)
 	case "begin":
 		c = &Claimer{Self: identifier.Entry(name), Partitions: 6, Silence: time.Second}
 		c.Join(now, w.record.Entries[identifier.Entry(name)].Incarnation)
--- a/internal/member/sealer/sealer.go
+++ b/internal/member/sealer/sealer.go
@@ -16,6 +16,8 @@
 type Takeover struct {
 	Claims []starter.Claim
 
+	// handed are the partitions that their earlier owners have handed over.
+	handed map[identifier.Partition]bool
 	// spokenAt is when the earlier owner can no longer say that something was not
 	// run.
 	spokenAt time.Time
@@ -37,6 +39,7 @@
 		spokenAt: now.Add(word),
 		silentAt: now.Add(tenure),
 		missing:  make(map[identifier.Agent]identifier.Incarnation),
+		handed:   make(map[identifier.Partition]bool),
 	}
 	for _, m := range roster {
 		if m.Replaced && now.Sub(m.Registered) < retention {
@@ -81,6 +84,23 @@
 	return true
 }
 
+// Handed notes that the earlier owner has handed a partition over, so that it need
+// not wait for the agents' records.
+func (t *Takeover) Handed(p identifier.Partition) {
+	t.handed[p] = true
+}
+
+// Open returns the claims that were not handed over.
+func (t *Takeover) Open() []starter.Claim {
+	var open []starter.Claim
+	for _, c := range t.Claims {
+		if !t.handed[c.Partition] {
+			open = append(open, c)
+		}
+	}
+	return open
+}
+
 // Done reports whether the partitions may be served, and whether the record of
 // some agent is lost.
 func (t *Takeover) Done(now time.Time) (done, cautious bool) {
--- a/internal/report/logger/logger.go
+++ b/internal/report/logger/logger.go
@@ -21,3 +21,12 @@
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), zapcore.InfoLevel)
 	return zap.New(core).With(zap.String("role", role), zap.String("name", name))
 }
+
+// Error is the field for an error: its message alone, without the trace that some
+// errors carry.
+func Error(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
