--- a/internal/agent/runner/register.go
+++ b/internal/agent/runner/register.go
@@ -90,7 +90,7 @@
 		if before.Token == token {
 			return last, nil
 		}
-		member.Replaced = true
+		member.Replaced = last.Incarnation
 	}
 	member.Incarnation = identifier.NextIncarnation(now, last.Incarnation)
 	return member, r.write(ctx, member, before.Version, token)
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -80,8 +80,10 @@
 	version uint64
 	wanted  chan []announcer.Peer
 	ended   chan ending
-	// unlinked holds a token after a link has ended.
-	unlinked chan struct{}
+	// released are the linked entries that have sent their last start.
+	released map[identifier.Entry]bool
+	// changed holds a token after a link has ended or was released.
+	changed chan struct{}
 }
 
 type counters struct {
@@ -107,7 +109,8 @@
 		links:    make(map[identifier.Entry]*connector.Link),
 		wanted:   make(chan []announcer.Peer, 1),
 		ended:    make(chan ending),
-		unlinked: make(chan struct{}, 1),
+		released: make(map[identifier.Entry]bool),
+		changed:  make(chan struct{}, 1),
 	}
 	r.life = drainer.New(func(s drainer.Stage) { log.Info("stage", zap.String("stage", string(s))) })
 	r.starter.Retention = settings.Retention
@@ -162,7 +165,8 @@
 	}
 }
 
-// drain takes no more work and waits for what runs.
+// drain takes no more work, and waits for what runs and until every entry has sent
+// its last start: each of those gets an answer, so that none is left in doubt.
 func (r *Runner) drain() {
 	if err := r.life.Drain(); err != nil {
 		r.log.Error("life_cycle", logger.Error(err))
@@ -170,27 +174,43 @@
 	r.mu.Lock()
 	r.starter.Drain()
 	r.offerer.Drain()
-	running := r.starter.Running()
 	for _, entry := range r.offerer.Linked() {
 		r.send(entry, &offerer.Leave{Incarnation: r.starter.Incarnation})
 	}
 	r.mu.Unlock()
-	for running > 0 {
-		r.end(<-r.ended)
-		r.mu.Lock()
-		running = r.starter.Running()
-		r.mu.Unlock()
+	for !r.quiet() {
+		select {
+		case e := <-r.ended:
+			r.end(e)
+		case <-r.changed:
+		}
 	}
 }
 
-// sayBye tells every entry that nothing more will come, and waits until they
-// have closed their links.
+// quiet reports whether nothing runs and nothing can come any more.
+func (r *Runner) quiet() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for entry := range r.links {
+		if !r.released[entry] {
+			return false
+		}
+	}
+	return r.starter.Running() == 0
+}
+
+// sayBye passes the records to every entry, tells them that nothing more will come,
+// and waits until they have closed their links.
 func (r *Runner) sayBye(linked <-chan struct{}, stop context.CancelFunc) {
 	if err := r.life.Drained(); err != nil {
 		r.log.Error("life_cycle", logger.Error(err))
 	}
 	r.mu.Lock()
+	bequest := r.starter.Bequeath()
 	for _, entry := range r.offerer.Linked() {
+		for _, m := range bequest {
+			r.send(entry, m)
+		}
 		r.send(entry, &announcer.Bye{})
 	}
 	r.mu.Unlock()
@@ -198,7 +218,7 @@
 	defer limit.Stop()
 	for r.linkCount() > 0 {
 		select {
-		case <-r.unlinked:
+		case <-r.changed:
 			continue
 		case <-limit.C:
 		}
--- a/internal/agent/runner/session.go
+++ b/internal/agent/runner/session.go
@@ -10,6 +10,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 )
 
@@ -43,6 +44,9 @@
 	r.links[entry] = link
 	r.send(entry, r.askTenureLocked(entry))
 	r.sendChanges(r.offerer.Link(entry))
+	if r.life.Stage() != drainer.Serving {
+		r.send(entry, &offerer.Leave{Incarnation: r.starter.Incarnation})
+	}
 }
 
 func (r *Runner) unlink(entry identifier.Entry) {
@@ -51,8 +55,14 @@
 	delete(r.links, entry)
 	r.starter.Unlink(entry)
 	r.sendChanges(r.offerer.Unlink(entry))
+	delete(r.released, entry)
+	r.announceChange()
+}
+
+// announceChange wakes whoever waits for the links to end or to be released.
+func (r *Runner) announceChange() {
 	select {
-	case r.unlinked <- struct{}{}:
+	case r.changed <- struct{}{}:
 	default:
 	}
 }
@@ -66,7 +76,7 @@
 func (r *Runner) askTenureLocked(entry identifier.Entry) any {
 	r.sequence++
 	r.starter.AskTenure(r.clock(), entry, r.sequence)
-	return &starter.AskTenure{Sequence: r.sequence}
+	return &starter.AskTenure{Sequence: r.sequence, Linked: r.offerer.Linked()}
 }
 
 // handle takes one message of an entry.
@@ -95,6 +105,9 @@
 		if m.Incarnation == r.starter.Incarnation {
 			r.sendChanges(r.offerer.Return(from, m.Slots))
 		}
+	case *offerer.Released:
+		r.released[from] = true
+		r.announceChange()
 	case *announcer.Peers:
 		r.follow(m.Version, m.Entries)
 	default:
--- a/internal/entry/runner/follow.go
+++ b/internal/entry/runner/follow.go
@@ -58,6 +58,9 @@
 		if err := r.takeOver(ctx, claims); err != nil {
 			return err
 		}
+		if err := r.checkReach(ctx); err != nil {
+			return err
+		}
 		written, err := r.write(ctx)
 		if err != nil && !errors.Is(err, keeper.ErrConflict) {
 			return err
@@ -89,24 +92,34 @@
 	if r.claimer.Member.Incarnation == 0 {
 		r.claimer.Join(now, a.Entries[r.settings.Name].Incarnation)
 	}
+	r.promiser.Read(record.Version)
+	r.readAt = sent
+	claims, fresh := r.observe(now, a, record.Version)
+	if fresh && r.claimer.Joined() {
+		r.perform(r.owner.Confirm(now, sent.Add(r.settings.Tenure), sent.Add(r.word())))
+	}
+	return claims, nil
+}
+
+// observe takes an assignment that was read by this entry or another, and returns
+// the partitions that were claimed and have to be taken over. It reports false for
+// one that is older than the newest.
+func (r *Runner) observe(now time.Time, a claimer.Assignment, version uint64) ([]starter.Claim, bool) {
 	before := r.claimer.Version()
-	change, fresh := r.claimer.Observe(now, a, record.Version)
+	change, fresh := r.claimer.Observe(now, a, version)
 	if !fresh {
-		return nil, nil
+		return nil, false
 	}
 	for _, p := range change.Lost {
 		r.handOver(p)
 		r.perform(r.owner.Lose(p))
 	}
 	claims := r.claim(now, change.Claimed)
-	if r.claimer.Joined() {
-		r.perform(r.owner.Confirm(now, sent.Add(r.settings.Tenure), sent.Add(r.word())))
-	}
-	if record.Version != before {
-		r.spread(record.Version, a.Peers())
+	if version != before {
+		r.spread(version, a.Peers())
 		r.announceMove()
 	}
-	return claims, nil
+	return claims, true
 }
 
 // handOver passes a lost partition to its new owner, if that is linked. The new
@@ -170,6 +183,9 @@
 	r.mu.Lock()
 	next, changed := r.claimer.Plan(r.clock())
 	version := r.claimer.Version()
+	if changed {
+		r.promiser.Sending(version)
+	}
 	r.mu.Unlock()
 	if !changed {
 		return false, nil
@@ -187,19 +203,14 @@
 // takeOver reads the roster, after the claims were read back, and asks the agents
 // to seal them.
 func (r *Runner) takeOver(ctx context.Context, claims []starter.Claim) error {
-	if len(claims) > 0 {
-		r.mu.Lock()
-		r.unsealed = append(r.unsealed, claims...)
-		r.mu.Unlock()
-	}
-	if len(r.unsealed) == 0 {
+	r.mu.Lock()
+	r.unsealed = append(r.unsealed, claims...)
+	wanted := len(r.unsealed)
+	r.mu.Unlock()
+	if wanted == 0 {
 		return nil
 	}
-	records, err := r.edges.Table.Scan(ctx, announcer.Prefix)
-	if err != nil {
-		return errors.Wrap(err, "read the roster for a takeover")
-	}
-	roster, err := parseRoster(records)
+	roster, err := r.readRoster(ctx)
 	if err != nil {
 		return err
 	}
@@ -208,7 +219,10 @@
 	defer r.mu.Unlock()
 	tenure := r.settings.Tenure + r.settings.Tenure/driftDivisor
 	word := r.word() + r.word()/driftDivisor
-	t := sealer.New(now, r.unsealed, roster, tenure, word, r.settings.Retention+r.settings.ClockBound)
+	t := sealer.New(now, r.unsealed, roster, r.owner.Inherited, tenure, word, r.settings.Retention+r.settings.ClockBound)
+	if !r.claimer.Acknowledged() {
+		t.Strict()
+	}
 	r.unsealed = nil
 	r.takeovers = append(r.takeovers, t)
 	for name, a := range r.agents {
@@ -218,12 +232,54 @@
 	return nil
 }
 
+// checkReach compares the roster with the linked agents, while an entry is cut off
+// from this one.
+func (r *Runner) checkReach(ctx context.Context) error {
+	r.mu.Lock()
+	cut := r.claimer.CutOff(r.clock())
+	r.mu.Unlock()
+	if !cut {
+		return nil
+	}
+	roster, err := r.readRoster(ctx)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := true
+	for _, m := range roster {
+		all = all && (!m.Left.IsZero() || r.agents[m.Agent].incarnation == m.Incarnation)
+	}
+	r.claimer.Reaches(all)
+	return nil
+}
+
+func (r *Runner) readRoster(ctx context.Context) ([]announcer.Member, error) {
+	records, err := r.edges.Table.Scan(ctx, announcer.Prefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the roster")
+	}
+	return parseRoster(records)
+}
+
 // word is how long a reading of the assignment lets this entry say that something
 // was not run. It is short, for a takeover waits for its end.
 func (r *Runner) word() time.Duration {
 	return r.settings.Refresh + r.settings.Refresh/2
 }
 
+// inherit keeps the records of an agent that leaves, for the takeovers that are
+// under way and those to come.
+func (r *Runner) inherit(now time.Time, agent identifier.Agent, m *starter.Bequest) {
+	if !r.owner.Inherit(now, agent, m) || !r.owner.Inherited(agent, m.Incarnation) {
+		return
+	}
+	for _, t := range r.takeovers {
+		t.Inherited(agent, m.Incarnation)
+	}
+}
+
 func parseRoster(records []keeper.Record) ([]announcer.Member, error) {
 	roster := make([]announcer.Member, 0, len(records))
 	for _, record := range records {
--- a/internal/entry/runner/links.go
+++ b/internal/entry/runner/links.go
@@ -12,6 +12,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/promiser"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 )
 
@@ -75,6 +76,9 @@
 	switch m := message.(type) {
 	case *announcer.Heartbeat:
 	case *starter.AskTenure:
+		for _, name := range m.Linked {
+			r.claimer.Witnessed(now, name)
+		}
 		r.sendOn(link, &starter.Tenure{Sequence: m.Sequence, Remaining: r.owner.Tenure(r.clock())})
 	case *starter.Ended:
 		r.perform(r.owner.Ended(now, agent, m))
@@ -93,6 +97,9 @@
 		r.perform(r.owner.Recalled(agent, m))
 	case *offerer.Leave:
 		r.owner.Left(agent)
+		r.sendOn(link, &offerer.Released{})
+	case *starter.Bequest:
+		r.inherit(now, agent, m)
 	case *announcer.Bye:
 		link.Close()
 	default:
@@ -140,6 +147,10 @@
 	case *announcer.Heartbeat:
 	case *owner.Submit:
 		r.perform(r.owner.Submit(now, owner.Request{Entry: from, Sequence: m.Sequence}, m.Job))
+	case *promiser.Seen:
+		r.claimer.Seen(from, m.Version)
+	case *promiser.Ask:
+		r.sendOn(link, r.answerAsk(now, from, m))
 	case *owner.Handover:
 		r.takeHandover(now, m)
 	case *owner.Inquire:
@@ -163,6 +174,7 @@
 		r.log.Warn("wrong_entry", zap.String("entry", string(p.Entry)), zap.String("answered", string(welcome.Entry)))
 		return false
 	}
+	link.Beat = r.tellSeen
 	r.setDialled(p.Entry, link)
 	err = link.Run(ctx, func(message any) error { return r.handleReply(p.Entry, message) })
 	r.setDialled(p.Entry, nil)
@@ -170,6 +182,13 @@
 	return true
 }
 
+// tellSeen is the heartbeat to another entry.
+func (r *Runner) tellSeen() any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return &promiser.Seen{Version: r.claimer.Version()}
+}
+
 func (r *Runner) setDialled(entry identifier.Entry, link *connector.Link) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -189,6 +208,8 @@
 	r.claimer.Heard(now, from)
 	switch m := message.(type) {
 	case *announcer.Heartbeat:
+	case *promiser.Promise:
+		r.takePromise(now, from, m)
 	case *owner.Reply:
 		r.requests.deliver(m)
 	default:
--- a/internal/entry/runner/pages.go
+++ b/internal/entry/runner/pages.go
@@ -4,6 +4,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/owner"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/meter"
@@ -57,8 +58,23 @@
 	if r.owner.Tenure(r.clock()) == 0 {
 		return errors.New("the tenure is not confirmed; check the table service")
 	}
+	if name, reached := r.reachesOwners(); !reached {
+		return errors.Errorf("the entry %s, which owns partitions, cannot be reached; send callers there, and look at the network between the entries", name)
+	}
 	if len(r.agents) == 0 {
 		return errors.New("no agent is linked; start an agent")
 	}
 	return nil
 }
+
+// reachesOwners returns an entry that owns partitions and cannot be reached, if
+// there is one. Of two entries that are cut off from each other, that with the lower
+// name stays ready.
+func (r *Runner) reachesOwners() (identifier.Entry, bool) {
+	for _, name := range r.claimer.Owners() {
+		if name < r.settings.Name && r.dialled[name] == nil {
+			return name, false
+		}
+	}
+	return "", true
+}
--- a/internal/entry/runner/requests.go
+++ b/internal/entry/runner/requests.go
@@ -207,3 +207,11 @@
 		RetryAfter: time.Second,
 	}
 }
+
+// Owns reports whether this entry owns and serves the partition of a submission.
+func (r *Runner) Owns(s identifier.Submission) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, serving := r.owner.Holds(s.Partition(r.settings.Partitions))
+	return serving
+}
--- a/internal/entry/runner/runner.go
+++ b/internal/entry/runner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/claimer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/promiser"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/sealer"
 	"github.com/dandeliongrade/dandeliongrade/internal/platform/keeper"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
@@ -63,9 +64,13 @@
 	mu        sync.Mutex
 	owner     *owner.Owner
 	claimer   claimer.Claimer
+	promiser  promiser.Promiser
 	takeovers []*sealer.Takeover
 	// unsealed are the claims that wait for a reading of the roster.
 	unsealed []starter.Claim
+	// readAt is when the newest successful reading of the assignment was sent, and
+	// askedAt when the other entries were last asked for promises.
+	readAt, askedAt time.Time
 	// agents are the links that agents dialled.
 	agents map[identifier.Agent]agentLink
 	// dialled are the links to other entries on which this one asks; accepted are
@@ -113,6 +118,8 @@
 		woken:    make(chan struct{}, 1),
 		moved:    make(chan struct{}),
 	}
+	r.promiser.Length = settings.Tenure
+	r.claimer.Spares = r.promiser.Spares
 	r.life = drainer.New(func(s drainer.Stage) { log.Info("stage", zap.String("stage", string(s))) })
 	return r
 }
@@ -161,6 +168,7 @@
 			r.mu.Lock()
 			r.checkTakeovers(now)
 			r.perform(r.owner.Tick(now))
+			r.extend(now)
 			_, wanting := r.claimer.Plan(now)
 			r.mu.Unlock()
 			if wanting {
--- a/internal/job/owner/holding.go
+++ b/internal/job/owner/holding.go
@@ -53,18 +53,22 @@
 // served already, because its earlier owner has handed it over, the ends of tasks
 // still count.
 func (o *Owner) Sealed(agent identifier.Agent, m *starter.Sealed) []Effect {
-	for _, r := range m.Records {
+	o.addRecords(agent, m.Incarnation, m.Records)
+	return o.flush()
+}
+
+func (o *Owner) addRecords(agent identifier.Agent, incarnation identifier.Incarnation, records []starter.Record) {
+	for _, r := range records {
 		h := o.holdings[r.Task.Submission.Partition(o.settings.Partitions)]
 		switch {
 		case h == nil:
 		case h.serving:
-			o.settleEnd(agent, m.Incarnation, r.Task, r.Result)
+			o.settleEnd(agent, incarnation, r.Task, r.Result)
 		default:
-			h.addRecord(r.Task, evidence{agent: agent, incarnation: m.Incarnation, attempt: r.Attempt, result: r.Result})
+			h.addRecord(r.Task, evidence{agent: agent, incarnation: incarnation, attempt: r.Attempt, result: r.Result})
 			h.digests[r.Task.Submission] = r.Digest
 		}
 	}
-	return o.flush()
 }
 
 // addRecord adds a start to the evidence. Of two reports on one task, that with a
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -45,6 +45,7 @@
 	runs     dispatcher.Estimator
 	// sent holds the tasks that were sent to each agent and have not ended.
 	sent      map[identifier.Agent]map[identifier.Task]bool
+	bequests  map[bequeather]*bequest
 	deadlines deadlines
 	effects   []Effect
 	// Counters is read by the metrics.
@@ -63,6 +64,7 @@
 		settings: settings,
 		holdings: make(map[identifier.Partition]*holding),
 		sent:     make(map[identifier.Agent]map[identifier.Task]bool),
+		bequests: make(map[bequeather]*bequest),
 	}
 	o.book.Retention = settings.Retention
 	o.book.ClockBound = settings.ClockBound
@@ -79,6 +81,15 @@
 	return o.flush()
 }
 
+// Extend sets a later end of the tenure, and leaves the end of the word.
+func (o *Owner) Extend(now, tenure time.Time) []Effect {
+	if tenure.After(o.tenure) {
+		o.tenure = tenure
+	}
+	o.dispatch(now)
+	return o.flush()
+}
+
 // Tenure returns how long the tenure still lasts, at least zero.
 func (o *Owner) Tenure(now time.Time) time.Duration {
 	return max(o.tenure.Sub(now), 0)
@@ -136,6 +147,7 @@
 		o.giveUp(now, j, describer.MayHaveRun, "the deadline passed")
 	}
 	o.book.Expire(now)
+	o.expireBequests(now)
 	for _, h := range o.holdings {
 		h.expire(now)
 	}
--- a/internal/job/owner/owner_test.go
+++ b/internal/job/owner/owner_test.go
@@ -39,6 +39,8 @@
 //	link AGENT INCARNATION; unlink AGENT; left AGENT
 //	grant AGENT INCARNATION SLOTS; recall AGENT INCARNATION SLOTS
 //	sealed AGENT INCARNATION TASK OUTCOME
+//	bequest AGENT INCARNATION TASK OUTCOME; bequest AGENT INCARNATION last
+//	inherited AGENT INCARNATION
 //	ended AGENT INCARNATION TASK OUTCOME
 //	notstarted AGENT INCARNATION TASK ATTEMPT REASON
 //	revoked AGENT INCARNATION TASK ATTEMPT started|tombstoned [OUTCOME]
@@ -94,6 +96,14 @@
 		return show(d.o.Sealed(agent, &starter.Sealed{Incarnation: incarnation, Records: []starter.Record{
 			{Task: task, Attempt: 1, Digest: digest(t, task), Result: describer.Result{Outcome: outcome(t, args[3])}},
 		}}))
+	case "bequest":
+		m := &starter.Bequest{Incarnation: incarnation, Last: args[2] == "last"}
+		if !m.Last {
+			m.Records = []starter.Record{{Task: task, Attempt: 1, Digest: digest(t, task), Result: describer.Result{Outcome: outcome(t, args[3])}}}
+		}
+		return fmt.Sprintf("all of it %t", d.o.Inherit(now, agent, m))
+	case "inherited":
+		return fmt.Sprintf("all of it %t", d.o.Inherited(agent, incarnation))
 	case "ended":
 		return show(d.o.Ended(now, agent, &starter.Ended{Incarnation: incarnation, Task: task, Result: describer.Result{Outcome: outcome(t, args[3])}, Granted: 1}))
 	case "notstarted":
--- a/internal/job/starter/messages.go
+++ b/internal/job/starter/messages.go
@@ -152,11 +152,25 @@
 	Result  describer.Result
 }
 
-// AskTenure asks an entry how long its tenure still lasts.
+// Bequest passes the records of an agent that leaves to every entry, so that one
+// which takes over a partition later does without the agent. The agent starts
+// nothing more when it sends the first of them.
+type Bequest struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Incarnation identifier.Incarnation
+	Records     []Record
+	Last        bool
+}
+
+// AskTenure asks an entry how long its tenure still lasts, and tells which entries
+// the agent is linked to: an entry that hears nothing of another learns from the
+// agents that it lives.
 type AskTenure struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Sequence uint64
+	Linked   []identifier.Entry
 }
 
 // Tenure answers AskTenure.
--- a/internal/job/starter/starter.go
+++ b/internal/job/starter/starter.go
@@ -5,6 +5,7 @@
 package starter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
@@ -188,7 +189,7 @@
 	}
 	for task, r := range s.records {
 		if r.started && sealed[r.partition] {
-			answer.Records = append(answer.Records, Record{Task: task, Attempt: r.attempt, Digest: r.digest, Result: r.result})
+			answer.Records = append(answer.Records, r.report(task))
 		}
 	}
 	return answer, true
@@ -236,6 +237,29 @@
 	s.draining = true
 }
 
+// bequestSize is how many records go into one message.
+const bequestSize = 1000
+
+// Bequeath returns everything that was started, for an agent that drains and runs
+// nothing more.
+func (s *Starter) Bequeath() []*Bequest {
+	var records []Record
+	for task, r := range s.records {
+		if r.started {
+			records = append(records, r.report(task))
+		}
+	}
+	var messages []*Bequest
+	for chunk := range slices.Chunk(records, bequestSize) {
+		messages = append(messages, &Bequest{Incarnation: s.Incarnation, Records: chunk})
+	}
+	return append(messages, &Bequest{Incarnation: s.Incarnation, Last: true})
+}
+
+func (r *record) report(task identifier.Task) Record {
+	return Record{Task: task, Attempt: r.attempt, Digest: r.digest, Result: r.result}
+}
+
 // Running returns how many started tasks have not ended.
 func (s *Starter) Running() int {
 	return s.running
--- a/internal/link/encoder/encoder.go
+++ b/internal/link/encoder/encoder.go
@@ -15,6 +15,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/job/owner"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/promiser"
 )
 
 // messages lists the types by their codes. A code never changes its meaning; a
@@ -43,6 +44,11 @@
 	21: reflect.TypeFor[owner.Reply](),
 	22: reflect.TypeFor[announcer.Bye](),
 	23: reflect.TypeFor[owner.Handover](),
+	24: reflect.TypeFor[promiser.Ask](),
+	25: reflect.TypeFor[promiser.Promise](),
+	26: reflect.TypeFor[promiser.Seen](),
+	27: reflect.TypeFor[offerer.Released](),
+	28: reflect.TypeFor[starter.Bequest](),
 }
 
 var codes = func() map[reflect.Type]byte {
--- a/internal/member/announcer/announcer.go
+++ b/internal/member/announcer/announcer.go
@@ -28,9 +28,8 @@
 	Slots       int                    `json:"slots"`
 	// Registered is when this incarnation joined, by the agent's clock.
 	Registered time.Time `json:"registered"`
-	// Replaced reports whether it took the place of an earlier incarnation, whose
-	// record of starts is lost.
-	Replaced bool `json:"replaced,omitempty"`
+	// Replaced is the incarnation whose place it took, zero for none.
+	Replaced identifier.Incarnation `json:"replaced,omitempty"`
 	// Left is when it left in good order, zero before.
 	Left time.Time `json:"left,omitzero"`
 }
--- a/internal/member/claimer/claimer_test.go
+++ b/internal/member/claimer/claimer_test.go
@@ -34,7 +34,8 @@
 // step knows these lines:
 //
 //	join E: begins, and reads, plans and writes until E is content
-//	begin E; read E; plan E; write E; leave E; hear E OTHER
+//	begin E; read E; plan E; write E; leave E; hear E OTHER; witness E OTHER;
+//	reach E all|some;//	seen E OTHER VERSION
 //
 // Plan keeps what the entry wants to write, and write carries it out if the record
 // has not changed since the entry's last reading.
@@ -74,6 +75,14 @@
 		return "version " + strconv.FormatUint(w.version, 10)
 	case "leave":
 		c.Leave()
+	case "seen":
+		v, _ := strconv.ParseUint(words[3], 10, 64)
+		c.Seen(identifier.Entry(words[2]), v)
+		return fmt.Sprintf("acknowledged %t", c.Acknowledged())
+	case "reach":
+		c.Reaches(words[2] == "all")
+	case "witness":
+		c.Witnessed(now, identifier.Entry(words[2]))
 	case "hear":
 		c.Heard(now, identifier.Entry(words[2]))
 	default:
--- /dev/null
+++ b/internal/member/promiser/promiser.go
@@ -0,0 +1,111 @@
+// Package promiser keeps owners going while the table service gives them no answer.
+// An owner that cannot confirm its tenure there asks every other entry of the last
+// assignment it has read not to claim its partitions for a while. If all of them
+// promise, nobody can take over in that time: whoever could is bound.
+//
+// The promises are unanimous and are stored nowhere. One entry that is dead or does
+// not know the asker's view is enough to end the tenure.
+package promiser
+
+import (
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+)
+
+// Promiser is what one entry has promised and was promised. It is not safe for use
+// by several goroutines at once. Length is set before use.
+type Promiser struct {
+	// Length is how long a promise lasts.
+	Length time.Duration
+
+	sequence uint64
+	asked    map[identifier.Entry]question
+	got      map[identifier.Entry]time.Time
+	given    map[identifier.Entry]time.Time
+	// unsettled is the version on which a write was sent whose outcome is unknown.
+	unsettled uint64
+	open      bool
+}
+
+type question struct {
+	sequence uint64
+	sent     time.Time
+}
+
+// Ask returns the question to send to another entry now.
+func (p *Promiser) Ask(now time.Time, to identifier.Entry, incarnation identifier.Incarnation, version uint64) *Ask {
+	if p.asked == nil {
+		p.asked = make(map[identifier.Entry]question)
+	}
+	p.sequence++
+	p.asked[to] = question{p.sequence, now}
+	return &Ask{Sequence: p.sequence, Incarnation: incarnation, Version: version}
+}
+
+// Answer decides on another entry's question, given the version of this entry's
+// newest reading. A write that may still take effect could break the promise, so
+// none is given while there is one.
+func (p *Promiser) Answer(now time.Time, from identifier.Entry, m *Ask, version uint64) *Promise {
+	refusal := &Promise{Sequence: m.Sequence, Version: version}
+	if p.open || version > m.Version {
+		return refusal
+	}
+	if p.given == nil {
+		p.given = make(map[identifier.Entry]time.Time)
+	}
+	if until := now.Add(p.Length); until.After(p.given[from]) {
+		p.given[from] = until
+	}
+	return &Promise{Sequence: m.Sequence, Length: p.Length}
+}
+
+// Promised takes an answer. A promise is counted from the sending of the question,
+// so that a pause can only shorten it.
+func (p *Promiser) Promised(from identifier.Entry, m *Promise) {
+	q, ok := p.asked[from]
+	if !ok || q.sequence != m.Sequence || m.Length <= 0 {
+		return
+	}
+	if p.got == nil {
+		p.got = make(map[identifier.Entry]time.Time)
+	}
+	if until := q.sent.Add(m.Length); until.After(p.got[from]) {
+		p.got[from] = until
+	}
+}
+
+// Tenure returns until when all of the others have promised, and false when one has
+// not. An entry without others is bound to nobody but a newcomer, who is bound to
+// seal every agent first.
+func (p *Promiser) Tenure(now time.Time, others []identifier.Entry) (time.Time, bool) {
+	tenure := now.Add(p.Length)
+	for _, other := range others {
+		until, ok := p.got[other]
+		if !ok || !now.Before(until) {
+			return time.Time{}, false
+		}
+		if until.Before(tenure) {
+			tenure = until
+		}
+	}
+	return tenure, true
+}
+
+// Spares reports whether this entry is bound not to claim another's partitions.
+func (p *Promiser) Spares(now time.Time, entry identifier.Entry) bool {
+	return now.Before(p.given[entry])
+}
+
+// Sending notes that a write conditional on a version is being sent.
+func (p *Promiser) Sending(version uint64) {
+	p.unsettled, p.open = version, true
+}
+
+// Read notes a reading of the assignment. A conditional write is settled once the
+// record has another version than the one it was conditional on.
+func (p *Promiser) Read(version uint64) {
+	if version > p.unsettled {
+		p.open = false
+	}
+}
--- a/internal/member/sealer/sealer.go
+++ b/internal/member/sealer/sealer.go
@@ -21,6 +21,8 @@
 	// spokenAt is when the earlier owner can no longer say that something was not
 	// run.
 	spokenAt time.Time
+	// strict means that silence proves nothing: every agent must seal.
+	strict bool
 	// silentAt is when an agent that has not answered can no longer start work
 	// for the earlier owner.
 	silentAt time.Time
@@ -29,11 +31,15 @@
 	cautious bool
 }
 
+// Inherited reports whether the records of an incarnation of an agent, which left in
+// good order, are with this entry.
+type Inherited func(identifier.Agent, identifier.Incarnation) bool
+
 // New begins a takeover of claims that were observed in the table service at now.
 // The roster must have been read after the claims were written: an agent that
 // registers later reads the claims itself. Tenure and word are the longest that
 // the earlier owner can have been confirmed for, with an allowance for clock drift.
-func New(now time.Time, claims []starter.Claim, roster []announcer.Member, tenure, word, retention time.Duration) *Takeover {
+func New(now time.Time, claims []starter.Claim, roster []announcer.Member, inherited Inherited, tenure, word, retention time.Duration) *Takeover {
 	t := &Takeover{
 		Claims:   claims,
 		spokenAt: now.Add(word),
@@ -42,12 +48,14 @@
 		handed:   make(map[identifier.Partition]bool),
 	}
 	for _, m := range roster {
-		if m.Replaced && now.Sub(m.Registered) < retention {
+		if m.Replaced > 0 && now.Sub(m.Registered) < retention && !inherited(m.Agent, m.Replaced) {
 			t.cautious = true
 		}
-		if m.Left.IsZero() {
+		switch {
+		case inherited(m.Agent, m.Incarnation):
+		case m.Left.IsZero():
 			t.missing[m.Agent] = m.Incarnation
-		} else if now.Sub(m.Left) < retention {
+		case now.Sub(m.Left) < retention:
 			t.cautious = true
 		}
 	}
@@ -69,6 +77,11 @@
 	return &starter.Seal{Incarnation: incarnation, Claims: t.Claims}
 }
 
+// Strict makes the takeover wait for every agent, however long it is silent.
+func (t *Takeover) Strict() {
+	t.strict = true
+}
+
 // Sealed notes that an agent has sealed, and reports whether that was awaited.
 func (t *Takeover) Sealed(agent identifier.Agent, m *starter.Sealed) bool {
 	wanted, missing := t.missing[agent]
@@ -101,6 +114,13 @@
 	return open
 }
 
+// Inherited notes that an agent has left in good order, with its records here.
+func (t *Takeover) Inherited(agent identifier.Agent, incarnation identifier.Incarnation) {
+	if t.missing[agent] == incarnation {
+		delete(t.missing, agent)
+	}
+}
+
 // Done reports whether the partitions may be served, and whether the record of
 // some agent is lost.
 func (t *Takeover) Done(now time.Time) (done, cautious bool) {
@@ -110,7 +130,7 @@
 	if len(t.missing) == 0 {
 		return true, t.cautious
 	}
-	if now.Before(t.silentAt) {
+	if t.strict || now.Before(t.silentAt) {
 		return false, false
 	}
 	return true, true
--- a/internal/member/sealer/sealer_test.go
+++ b/internal/member/sealer/sealer_test.go
@@ -27,10 +27,16 @@
 }
 
 // begin reads a roster of members such as a1:2, a1:2:replaced=10s or a1:2:left=1m,
-// with how long ago that was.
+// with how long ago that was. A word such as bequest=a1:2 says whose records are
+// here.
 func begin(t *testing.T, now time.Time, words []string) *Takeover {
 	var roster []announcer.Member
+	bequests := make(map[string]bool)
 	for _, word := range words {
+		if name, ok := strings.CutPrefix(word, "bequest="); ok {
+			bequests[name] = true
+			continue
+		}
 		parts := strings.Split(word, ":")
 		n, _ := strconv.Atoi(parts[1])
 		m := announcer.Member{Agent: identifier.Agent(parts[0]), Incarnation: identifier.Incarnation(n), Registered: now.Add(-time.Hour)}
@@ -40,16 +46,19 @@
 			if what == "left" {
 				m.Left = at
 			} else {
-				m.Replaced, m.Registered = true, at
+				m.Replaced, m.Registered = m.Incarnation-1, at
 			}
 		}
 		roster = append(roster, m)
 	}
-	return New(now, []starter.Claim{{Partition: 3, Epoch: 5}}, roster, 3*time.Second, time.Second, time.Minute)
+	inherited := func(agent identifier.Agent, incarnation identifier.Incarnation) bool {
+		return bequests[fmt.Sprintf("%s:%d", agent, incarnation)]
+	}
+	return New(now, []starter.Claim{{Partition: 3, Epoch: 5}}, roster, inherited, 3*time.Second, time.Second, time.Minute)
 }
 
 // step knows these lines: linked AGENT INCARNATION, sealed AGENT INCARNATION EPOCH,
-// done.
+// inherited AGENT INCARNATION, strict, done.
 func step(t *testing.T, takeover *Takeover, now time.Time, words []string) string {
 	var agent identifier.Agent
 	var incarnation identifier.Incarnation
@@ -58,6 +67,12 @@
 		agent, incarnation = identifier.Agent(words[1]), identifier.Incarnation(n)
 	}
 	switch words[0] {
+	case "inherited":
+		takeover.Inherited(agent, incarnation)
+		return ""
+	case "strict":
+		takeover.Strict()
+		return ""
 	case "linked":
 		return fmt.Sprintf("asked %t", takeover.Linked(agent, incarnation) != nil)
 	case "sealed":
