--- /dev/null
+++ b/internal/bench/prover/network_test.go
@@ -0,0 +1,277 @@
+package prover
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// latency is how long a message is on its way.
+const latency = time.Millisecond
+
+// network connects processes in memory, in virtual time. It is a fake of the
+// connections alone: bytes arrive late, not at all, or never, as a test says.
+type network struct {
+	mu        sync.Mutex
+	listeners map[netip.AddrPort]*listener
+	conns     []*conn
+	// dropped holds the directions in which every message is lost.
+	dropped map[direction]bool
+	// silenced holds the directions in which messages of the connections that are
+	// open now are lost, while new connections work.
+	silenced map[*conn]bool
+}
+
+type direction struct{ from, to *gate }
+
+func newNetwork() *network {
+	return &network{
+		listeners: make(map[netip.AddrPort]*listener),
+		dropped:   make(map[direction]bool),
+		silenced:  make(map[*conn]bool),
+	}
+}
+
+// drop loses all messages from one process to another, or no longer.
+func (n *network) drop(from, to *gate, lost bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dropped[direction{from, to}] = lost
+}
+
+// silence loses for good what goes over the connections that are open now.
+func (n *network) silence(a, b *gate) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		if (c.self == a && c.peer == b) || (c.self == b && c.peer == a) {
+			n.silenced[c] = true
+		}
+	}
+}
+
+func (n *network) loses(c *conn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.silenced[c] || n.dropped[direction{c.self, c.peer}]
+}
+
+// closeAll closes the connections of a process that has died.
+func (n *network) closeAll(g *gate) {
+	n.mu.Lock()
+	conns := append([]*conn(nil), n.conns...)
+	n.mu.Unlock()
+	for _, c := range conns {
+		if c.self == g {
+			_ = c.Close()
+		}
+	}
+}
+
+// listener is a process's open port.
+type listener struct {
+	net    *network
+	gate   *gate
+	addr   netip.AddrPort
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (n *network) listen(g *gate, addr netip.AddrPort) net.Listener {
+	l := &listener{net: n, gate: g, addr: addr, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[addr] = l
+	return l
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.addr) }
+
+// dialer returns the DialFunc of a process.
+func (n *network) dialer(g *gate) func(context.Context, netip.AddrPort) (net.Conn, error) {
+	return func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		if err := g.pass(ctx); err != nil {
+			return nil, err
+		}
+		n.mu.Lock()
+		l := n.listeners[to]
+		n.mu.Unlock()
+		if l == nil || l.gate.dead() {
+			return nil, errors.New("connection refused")
+		}
+		n.mu.Lock()
+		lost := n.dropped[direction{g, l.gate}] || n.dropped[direction{l.gate, g}]
+		n.mu.Unlock()
+		if lost {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		near, far := n.pair(g, l.gate)
+		select {
+		case l.conns <- far:
+			return near, nil
+		case <-l.closed:
+			return nil, errors.New("connection refused")
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (n *network) pair(a, b *gate) (*conn, *conn) {
+	ab, ba := newHalf(), newHalf()
+	near := &conn{net: n, self: a, peer: b, in: ba, out: ab}
+	far := &conn{net: n, self: b, peer: a, in: ab, out: ba}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns = append(n.conns, near, far)
+	return near, far
+}
+
+// half is one direction of a connection.
+type half struct {
+	mu     sync.Mutex
+	chunks []chunk
+	closed bool
+	// changed is closed and made anew at each change.
+	changed chan struct{}
+}
+
+type chunk struct {
+	due  time.Time
+	data []byte
+}
+
+func newHalf() *half { return &half{changed: make(chan struct{})} }
+
+func (h *half) change(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// take copies what is due into b. Otherwise it says what to wait for.
+func (h *half) take(b []byte) (n int, due time.Time, changed <-chan struct{}, closed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.chunks) == 0 {
+		return 0, time.Time{}, h.changed, h.closed
+	}
+	c := &h.chunks[0]
+	if time.Now().Before(c.due) {
+		return 0, c.due, h.changed, false
+	}
+	n = copy(b, c.data)
+	if c.data = c.data[n:]; len(c.data) == 0 {
+		h.chunks = h.chunks[1:]
+	}
+	return n, time.Time{}, h.changed, false
+}
+
+// conn is one end of a connection.
+type conn struct {
+	net        *network
+	self, peer *gate
+	in, out    *half
+
+	mu       sync.Mutex
+	deadline time.Time
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		if err := c.self.pass(context.Background()); err != nil {
+			return 0, err
+		}
+		n, due, changed, closed := c.in.take(b)
+		if n > 0 {
+			return n, nil
+		}
+		if closed {
+			return 0, io.EOF
+		}
+		c.mu.Lock()
+		wake := c.deadline
+		c.mu.Unlock()
+		if !wake.IsZero() && !time.Now().Before(wake) {
+			return 0, os.ErrDeadlineExceeded
+		}
+		if wake.IsZero() || (!due.IsZero() && due.Before(wake)) {
+			wake = due
+		}
+		wait(wake, changed)
+	}
+}
+
+// wait waits for a change, or until the given time if it is not zero.
+func wait(until time.Time, changed <-chan struct{}) {
+	if until.IsZero() {
+		<-changed
+		return
+	}
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	if err := c.self.pass(context.Background()); err != nil {
+		return 0, err
+	}
+	c.out.mu.Lock()
+	closed := c.out.closed
+	c.out.mu.Unlock()
+	if closed {
+		return 0, net.ErrClosed
+	}
+	if !c.net.loses(c) {
+		data := append([]byte(nil), b...)
+		c.out.change(func() { c.out.chunks = append(c.out.chunks, chunk{time.Now().Add(latency), data}) })
+	}
+	return len(b), nil
+}
+
+func (c *conn) Close() error {
+	c.out.change(func() { c.out.closed = true })
+	c.in.change(func() { c.in.closed, c.in.chunks = true, nil })
+	return nil
+}
+
+func (c *conn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return nil
+}
+
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+func (c *conn) LocalAddr() net.Addr              { return &net.TCPAddr{} }
+func (c *conn) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
