Keep strangers on a link port from ending a process

Cause: fuzzing of the decoder found, within ten seconds each, a body of 20 bytes on which the msgpack library panics and one on which it makes room for three billion elements; either would have ended the process. Change: a panic of the library is a malformed message; an array may not claim more elements than bytes are left; a large body may not be nested deep, and has no maps. Cases for hostile bodies, for strangers on a port, for silence, and for the sizes of messages; fuzz targets for decoder and framer with the inputs that were found. Ruled out: a decoder of our own; the library's own limit, which does not work for slices of structures in the version served. Conclusion: memory grows only with bytes that have arrived.

--- /dev/null
+++ b/internal/link/connector/link_test.go
@@ -0,0 +1,83 @@
+package connector
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+)
+
+var testTiming = Timing{Heartbeat: 20 * time.Millisecond, Silence: 200 * time.Millisecond}
+
+// TestStrangers dials a link port and says what no process of the cell would. Each
+// connection ends with a typed error, and the port goes on serving.
+func TestStrangers(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	refused := make(chan error, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		Serve(ctx, ln, func(ctx context.Context, conn net.Conn) {
+			link, _, err := Accept(conn, testTiming, announcer.Welcome{Entry: "e1"})
+			if err == nil {
+				err = link.Run(ctx, func(m any) error { return &UnexpectedError{m} })
+			}
+			_ = conn.Close()
+			refused <- err
+		})
+		close(ended)
+	}()
+	var out strings.Builder
+	for _, c := range []struct{ name, bytes string }{
+		{"nothing, then the end", ""},
+		{"half a length", "\x00\x00"},
+		{"half a frame", "\x00\x00\x00\x09\x01"},
+		{"too large", "\xff\xff\xff\xff"},
+		{"empty frame", "\x00\x00\x00\x00"},
+		{"unknown type", "\x00\x00\x00\x01\x63"},
+		{"another message", "\x00\x00\x00\x02\x03\x90"},
+		{"another version", "\x00\x00\x00\x06\x01\x94\x07\xa0\xa0\x00"},
+		{"text of HTTP", "GET / HTTP/1.1\r\n\r\n"},
+	} {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		assert.NilError(t, err)
+		_, err = conn.Write([]byte(c.bytes))
+		assert.NilError(t, err)
+		assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+		out.WriteString(c.name + ": " + (<-refused).Error() + "\n")
+		_ = conn.Close()
+	}
+	golden.Assert(t, out.String(), "strangers.golden")
+
+	link, welcome, err := Dial(ctx, DialTCP, netip.MustParseAddrPort(ln.Addr().String()), testTiming, announcer.Hello{Entry: "e2"})
+	assert.NilError(t, err)
+	assert.Equal(t, string(welcome.Entry), "e1")
+	link.Close()
+	<-refused
+	stop()
+	<-ended
+}
+
+// TestSilence shows that a connection on which nothing comes is dropped.
+func TestSilence(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	go func() {
+		buf := make([]byte, 1024)
+		for {
+			if _, err := far.Read(buf); err != nil {
+				return
+			}
+		}
+	}()
+	err := NewLink(near, testTiming).Run(context.Background(), func(any) error { return nil })
+	assert.ErrorContains(t, err, "timeout")
+}
--- a/internal/link/encoder/encoder.go
+++ b/internal/link/encoder/encoder.go
@@ -133,8 +133,14 @@
 }
 
 // Decode returns a pointer to the message in body. It keeps no reference to
-// body.
+// body. The library panics on some malformed input; a stranger must not end the
+// process by it.
 func Decode(body []byte) (message any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			message, err = nil, &MalformedError{errors.Errorf("%v", cause)}
+		}
+	}()
 	if len(body) == 0 {
 		return nil, &MalformedError{errors.New("it is empty")}
 	}
@@ -142,6 +148,9 @@
 	if int(code) >= len(messages) || messages[code] == nil {
 		return nil, &UnknownTypeError{code}
 	}
+	if err := checkArrays(body[1:]); err != nil {
+		return nil, &MalformedError{err}
+	}
 	message = reflect.New(messages[code]).Interface()
 	dec := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(dec)
--- /dev/null
+++ b/internal/link/encoder/encoder_test.go
@@ -0,0 +1,102 @@
+package encoder
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/offerer"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/owner"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
+	"github.com/dandeliongrade/dandeliongrade/internal/link/framer"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
+)
+
+var sampleTask = identifier.Task{Submission: identifier.Submission{Workspace: "nails_and_tacks", Key: "0191d6f0-0000-7000-8000-000000000001"}, Index: 17}
+
+// samples are messages as they are sent, without inputs and results of callers.
+func samples() []any {
+	const incarnation = 1_796_369_950_235
+	return []any{
+		&starter.Start{Incarnation: incarnation, Partition: 63, Epoch: 12, Task: sampleTask, Attempt: 1, Digest: 1 << 63, Path: "/stock", Timeout: 10 * time.Second},
+		&starter.Ended{Incarnation: incarnation, Task: sampleTask, Result: describer.Result{Outcome: describer.Succeeded}, Granted: 1},
+		&starter.NotStarted{Incarnation: incarnation, Task: sampleTask, Epoch: 12, Attempt: 1, Reason: starter.Draining},
+		&starter.AskTenure{Sequence: 100_000, Linked: []identifier.Entry{"entry-1", "entry-2"}},
+		&starter.Tenure{Sequence: 100_000, Remaining: 3 * time.Second},
+		&announcer.Heartbeat{},
+		&offerer.Grant{Incarnation: incarnation, Slots: 1},
+		&offerer.Want{Waiting: 10},
+		&owner.Submit{Sequence: 7, Job: describer.Job{Submission: sampleTask.Submission, Created: time.UnixMilli(1_796_369_950_235), Template: "stock_lookup", Inputs: [][]byte{[]byte("{}")}}},
+	}
+}
+
+// TestSizes holds the size of each sample as a frame on a link, in bytes, and that it
+// comes back as it was.
+func TestSizes(t *testing.T) {
+	var out strings.Builder
+	for _, m := range samples() {
+		frame, err := framer.Append(nil, func(b []byte) ([]byte, error) { return Append(b, m) })
+		assert.NilError(t, err)
+		fmt.Fprintf(&out, "%-20s %4d\n", strings.TrimPrefix(reflect.TypeOf(m).String(), "*"), len(frame))
+		body, err := framer.Read(bytes.NewReader(frame), nil)
+		assert.NilError(t, err)
+		back, err := Decode(body)
+		assert.NilError(t, err)
+		assert.Equal(t, fmt.Sprintf("%+v", back), fmt.Sprintf("%+v", m))
+	}
+	golden.Assert(t, out.String(), "sizes.golden")
+}
+
+// TestHostileBodies sends what would exhaust the memory of a trusting decoder.
+func TestHostileBodies(t *testing.T) {
+	const peers, handover = 4, 23
+	deep := append([]byte{handover}, bytes.Repeat([]byte{0x91}, 1<<20)...)
+	wide := []byte{peers, 0x92, 0x01, 0xdd, 0xff, 0xff, 0xff, 0xff}
+	maps := append([]byte{handover, 0xdc, 0, 1}, bytes.Repeat([]byte{0x81, 0x01}, 1<<10)...)
+	var out strings.Builder
+	for _, body := range [][]byte{nil, {0}, {255}, deep, wide, maps, {peers}} {
+		_, err := Decode(body)
+		out.WriteString(err.Error() + "\n")
+	}
+	golden.Assert(t, out.String(), "hostile.golden")
+}
+
+// FuzzDecode feeds the decoder what a stranger could send. Whatever comes, it returns
+// a message or an error.
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples() {
+		b, err := Append(nil, m)
+		assert.NilError(f, err)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		m, err := Decode(body)
+		if err != nil {
+			return
+		}
+		_, err = Append(nil, m)
+		assert.NilError(t, err)
+	})
+}
+
+// FuzzFrame feeds the framer a stream. It allocates no more than has arrived, but
+// for the first read.
+func FuzzFrame(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 1, 3})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0, 0x7f, 0xff, 0xff, 1, 2})
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		body, err := framer.Read(bytes.NewReader(stream), nil)
+		if err == nil {
+			assert.Assert(t, len(body) <= len(stream))
+		}
+	})
+}
