Find the agent with the most idle slots at once; waste fewer messages on slots

Change: the pool keeps agents by their idle slots. Starts tell how much work waits once the whole batch is sent, not from the middle of it. A freed slot counts for one waiting task, and otherwise stays with the entry that used it. An entry asks no more agents for slots than it has tasks. Jobs are forgotten in a fixed order. Conclusion: the cost of a decision no longer grows with the agents; the sharing of slots between entries still costs too many messages.

--- a/internal/agent/runner/pages.go
+++ b/internal/agent/runner/pages.go
@@ -32,6 +32,8 @@
 	}
 	count("starts", &r.counters.started)
 	count("refusals", &r.counters.refused)
+	count("grants", &r.counters.grants)
+	count("recalls", &r.counters.recalls)
 	count("messages_sent", &r.counters.sent)
 	count("messages_received", &r.counters.received)
 	set.NewGauge("dandeliongrade_agent_running_tasks", func() float64 {
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -87,7 +87,7 @@
 }
 
 type counters struct {
-	started, refused, sent, received metrics.Counter
+	started, refused, sent, received, grants, recalls metrics.Counter
 }
 
 // ending is the end of a call to the backend server.
@@ -273,9 +273,11 @@
 func (r *Runner) sendChanges(changes []offerer.Change) {
 	for _, c := range changes {
 		if c.Grant > 0 {
+			r.counters.grants.Inc()
 			r.send(c.Entry, &offerer.Grant{Incarnation: r.starter.Incarnation, Slots: c.Grant})
 		}
 		if c.Recall > 0 {
+			r.counters.recalls.Inc()
 			r.send(c.Entry, &offerer.Recall{Incarnation: r.starter.Incarnation, Slots: c.Recall})
 		}
 	}
--- a/internal/job/dispatcher/pool.go
+++ b/internal/job/dispatcher/pool.go
@@ -4,6 +4,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
@@ -13,22 +14,28 @@
 // several goroutines at once. The zero value has no agents.
 type Pool struct {
 	agents map[identifier.Agent]*Worker
-	order  []*Worker
+	// order holds the agents in the order of their linking.
+	order []*Worker
+	// levels holds the agents by how many idle slots they have, so that the one with
+	// the most is found without a look at all the others.
+	levels [][]*Worker
 	next   int
 	free   int
+	busy   int
 }
 
 // Worker is a linked agent with the slots that it offered and that are not used.
 type Worker struct {
 	Agent       identifier.Agent
 	Incarnation identifier.Incarnation
-	// Free is how many offered slots stand idle.
-	Free int
-	// Busy is how many tasks were sent to the agent and have not ended.
-	Busy int
 	// Told reports whether the agent knows that work waits at this entry.
 	Told bool
 
+	// free is how many offered slots stand idle, busy how many tasks were sent and
+	// have not ended.
+	free, busy int
+	// place is the index of the worker in its level.
+	place   int
 	resting time.Time
 }
 
@@ -41,6 +48,7 @@
 	w := &Worker{Agent: agent, Incarnation: incarnation}
 	p.agents[agent] = w
 	p.order = append(p.order, w)
+	p.enter(w)
 }
 
 // Unlink removes an agent and its slots.
@@ -49,14 +57,38 @@
 	if w == nil {
 		return
 	}
-	p.free -= w.Free
+	p.exit(w)
+	p.free -= w.free
+	p.busy -= w.busy
 	delete(p.agents, agent)
-	for i, other := range p.order {
-		if other == w {
-			p.order = append(p.order[:i], p.order[i+1:]...)
-			break
-		}
+	i := slices.Index(p.order, w)
+	p.order = slices.Delete(p.order, i, i+1)
+}
+
+// enter puts a worker into its level.
+func (p *Pool) enter(w *Worker) {
+	for len(p.levels) <= w.free {
+		p.levels = append(p.levels, nil)
 	}
+	w.place = len(p.levels[w.free])
+	p.levels[w.free] = append(p.levels[w.free], w)
+}
+
+// exit takes a worker out of its level.
+func (p *Pool) exit(w *Worker) {
+	level := p.levels[w.free]
+	last := level[len(level)-1]
+	level[w.place] = last
+	last.place = w.place
+	level[len(level)-1] = nil
+	p.levels[w.free] = level[:len(level)-1]
+}
+
+func (p *Pool) setFree(w *Worker, n int) {
+	p.exit(w)
+	p.free += n - w.free
+	w.free = n
+	p.enter(w)
 }
 
 // Worker returns a linked agent, or nil.
@@ -67,8 +99,7 @@
 // Grant adds offered slots of an agent.
 func (p *Pool) Grant(agent identifier.Agent, n int) {
 	if w := p.agents[agent]; w != nil && n > 0 {
-		w.Free += n
-		p.free += n
+		p.setFree(w, w.free+n)
 	}
 }
 
@@ -78,12 +109,18 @@
 	if w == nil {
 		return 0
 	}
-	n = min(max(n, 0), w.Free)
-	w.Free -= n
-	p.free -= n
+	n = min(max(n, 0), w.free)
+	p.setFree(w, w.free-n)
 	return n
 }
 
+// RecallAll takes back all idle slots of an agent.
+func (p *Pool) RecallAll(agent identifier.Agent) {
+	if w := p.agents[agent]; w != nil {
+		p.setFree(w, 0)
+	}
+}
+
 // Rest keeps work from an agent until the given time.
 func (p *Pool) Rest(agent identifier.Agent, until time.Time) {
 	if w := p.agents[agent]; w != nil {
@@ -94,35 +131,34 @@
 // Take uses one slot of the agent with the most idle ones, in turn among equals,
 // and returns nil when no agent has one or all that have rest.
 func (p *Pool) Take(now time.Time) *Worker {
-	if p.free == 0 {
-		return nil
+	for free := len(p.levels) - 1; free > 0; free-- {
+		if w := p.takeLevel(now, p.levels[free]); w != nil {
+			return w
+		}
 	}
-	var most *Worker
-	at := 0
-	for i := range p.order {
-		k := (p.next + i) % len(p.order)
-		w := p.order[k]
-		if w.Free == 0 || now.Before(w.resting) {
+	return nil
+}
+
+func (p *Pool) takeLevel(now time.Time, level []*Worker) *Worker {
+	for i := range level {
+		w := level[(p.next+i)%len(level)]
+		if now.Before(w.resting) {
 			continue
 		}
-		if most == nil || w.Free > most.Free {
-			most, at = w, k
-		}
-	}
-	if most == nil {
-		return nil
+		p.next++
+		p.setFree(w, w.free-1)
+		w.busy++
+		p.busy++
+		return w
 	}
-	p.next = at + 1
-	most.Free--
-	most.Busy++
-	p.free--
-	return most
+	return nil
 }
 
 // Done notes that a task sent to the agent has ended or was not started.
 func (p *Pool) Done(agent identifier.Agent) {
-	if w := p.agents[agent]; w != nil && w.Busy > 0 {
-		w.Busy--
+	if w := p.agents[agent]; w != nil && w.busy > 0 {
+		w.busy--
+		p.busy--
 	}
 }
 
@@ -133,11 +169,7 @@
 
 // Slots returns the number of slots that this entry holds, idle and used.
 func (p *Pool) Slots() int {
-	n := 0
-	for _, w := range p.order {
-		n += w.Free + w.Busy
-	}
-	return n
+	return p.free + p.busy
 }
 
 // Workers returns the linked agents in the order of their linking.
--- a/internal/job/offerer/offerer.go
+++ b/internal/job/offerer/offerer.go
@@ -2,9 +2,10 @@
 // is offered to one entry at a time, so that no two entries send work to it and
 // a start needs no question first.
 //
-// Entries with waiting work come first, in turn. Without any, the free slots
-// are spread evenly and stand ready. When an entry wants slots that stand idle
-// at another, the idle ones are recalled.
+// Entries with waiting work come first, in turn. Without any, a slot stays with the
+// entry that used it last, for its next offer travels along with the end of a task;
+// other free slots are spread evenly and stand ready. When an entry wants slots that
+// stand idle at another, the idle ones are recalled.
 package offerer
 
 import (
@@ -95,7 +96,7 @@
 	if idle == nil {
 		return nil
 	}
-	return o.recall(idle, (idle.offered+1)/2)
+	return o.recall(idle, min((idle.offered+1)/2, sh.waiting))
 }
 
 // End frees the slot of a task that the entry started, and offers it anew.
@@ -104,7 +105,7 @@
 		sh.running--
 	}
 	o.free++
-	return o.spread()
+	return o.offer(o.find(entry))
 }
 
 // Want notes how much work waits at an entry, and finds slots for it.
@@ -189,12 +190,17 @@
 
 // spread offers the free slots.
 func (o *Offerer) spread() []Change {
+	return o.offer(nil)
+}
+
+// offer offers the free slots, to last when nobody has work waiting. Last may be nil.
+func (o *Offerer) offer(last *share) []Change {
 	if o.draining || len(o.shares) == 0 {
 		return nil
 	}
 	var changes []Change
 	for o.free > 0 {
-		sh := o.choose()
+		sh := o.choose(last)
 		sh.offered++
 		o.free--
 		i := slices.IndexFunc(changes, func(c Change) bool { return c.Entry == sh.entry })
@@ -207,16 +213,21 @@
 	return changes
 }
 
-// choose returns the entry that gets the next free slot: one in turn with more
-// waiting than it was offered, or else the one that holds the fewest.
-func (o *Offerer) choose() *share {
+// choose returns the entry that gets the next free slot: one in turn with waiting
+// work, or else the last one that used it, or else the one that holds the fewest. Each
+// slot counts for one waiting task until the entry says how much waits now.
+func (o *Offerer) choose(last *share) *share {
 	for range o.shares {
 		sh := o.shares[o.next%len(o.shares)]
 		o.next = (o.next + 1) % len(o.shares)
-		if sh.waiting > sh.offered {
+		if sh.waiting > 0 {
+			sh.waiting--
 			return sh
 		}
 	}
+	if last != nil {
+		return last
+	}
 	fewest := o.shares[0]
 	for _, sh := range o.shares[1:] {
 		if sh.offered+sh.running < fewest.offered+fewest.running {
--- a/internal/job/owner/agents.go
+++ b/internal/job/owner/agents.go
@@ -127,9 +127,7 @@
 
 // Left drops the offered slots of an agent that is leaving.
 func (o *Owner) Left(agent identifier.Agent) {
-	if w := o.pool.Worker(agent); w != nil {
-		o.pool.Recall(agent, w.Free)
-	}
+	o.pool.RecallAll(agent)
 }
 
 // Ended takes the end of a task.
@@ -251,13 +249,22 @@
 	}
 }
 
-// want tells the agents that do not know it yet that work waits here.
+// want tells agents that do not know it yet that work waits here: in turn, and no
+// more at a time than there are tasks, for each will look for a slot.
 func (o *Owner) want() {
-	for _, w := range o.pool.Workers() {
+	workers := o.pool.Workers()
+	asked := 0
+	for range workers {
+		if asked >= o.queue.Len() {
+			return
+		}
+		w := workers[o.nextWant%len(workers)]
+		o.nextWant = (o.nextWant + 1) % len(workers)
 		if w.Told {
 			continue
 		}
 		w.Told = true
+		asked++
 		o.Counters.Wants++
 		o.send(w.Agent, &offerer.Want{Waiting: o.queue.Len()})
 	}
--- a/internal/job/owner/holding.go
+++ b/internal/job/owner/holding.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
@@ -116,6 +117,7 @@
 			lost = append(lost, j)
 		}
 	})
+	slices.SortFunc(lost, func(a, b *job) int { return a.Submission.Compare(b.Submission) })
 	for _, j := range lost {
 		o.forget(j)
 	}
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -47,7 +47,9 @@
 	sent      map[identifier.Agent]map[identifier.Task]bool
 	bequests  map[bequeather]*bequest
 	deadlines deadlines
-	effects   []Effect
+	// nextWant is the place of the agent that is told next that work waits.
+	nextWant int
+	effects  []Effect
 	// Counters is read by the metrics.
 	Counters Counters
 }
@@ -248,6 +250,7 @@
 	if !now.Before(o.tenure) {
 		return
 	}
+	begun := len(o.effects)
 	for o.queue.Len() > 0 && o.pool.Free() > 0 {
 		it, _ := o.queue.Pop()
 		j, ok := o.book.Find(it.Task.Submission)
@@ -257,15 +260,32 @@
 		w := o.pool.Take(now)
 		if w == nil {
 			o.queue.PushFront(it)
-			return
+			break
 		}
 		o.start(now, j, it.Task, w)
 	}
+	o.tellWaiting(o.effects[begun:])
 	if o.queue.Len() > 0 {
 		o.want()
 	}
 }
 
+// tellWaiting puts into each start how much work waits once all of them are sent.
+// A count from in between would make agents find slots for work that others have
+// got by then.
+func (o *Owner) tellWaiting(effects []Effect) {
+	for _, e := range effects {
+		s, ok := e.(Send)
+		if !ok {
+			continue
+		}
+		if m, ok := s.Message.(*starter.Start); ok {
+			m.Waiting = o.queue.Len()
+			o.pool.Worker(s.Agent).Told = m.Waiting > 0
+		}
+	}
+}
+
 func (o *Owner) start(now time.Time, j *job, name identifier.Task, w *dispatcher.Worker) {
 	t := &j.tasks[name.Index]
 	t.state = sent
@@ -273,7 +293,6 @@
 	t.attempt++
 	t.at = now
 	p := j.Submission.Partition(o.settings.Partitions)
-	w.Told = o.queue.Len() > 0
 	o.markSent(w.Agent, name)
 	o.Counters.Starts++
 	o.send(w.Agent, &starter.Start{
@@ -287,7 +306,6 @@
 		Timeout:     j.Timeout,
 		NotRepeated: j.NotRepeated,
 		Input:       j.Inputs[name.Index],
-		Waiting:     o.queue.Len(),
 	})
 }
 
