Add an open load that measures what callers see

Cause: no policy can be judged without a measure of it. Change: dandeliongrade load sends jobs at their times, whatever was answered, from a settings file with a seed; it reports slowdown against the run time by class, goodput, wasted messages and processor time for each start, read from the processes' metrics.

--- /dev/null
+++ b/cmd/dandeliongrade/load.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/bench/experimenter"
+	"github.com/dandeliongrade/dandeliongrade/internal/config/loader"
+)
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "load",
+		Usage:       "put an open load on a running cell and report what callers see",
+		ArgsUsage:   "SETTINGS",
+		Description: "Example: dandeliongrade load --json report.json examples/load.jsonc",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "json", Usage: "write the report to this `FILE` too"},
+		},
+		Action: load,
+	}
+}
+
+func load(ctx context.Context, cmd *cli.Command) error {
+	file, err := one(cmd)
+	if err != nil {
+		return err
+	}
+	plan := experimenter.DefaultPlan()
+	if err := loader.Load(file, plan); err != nil {
+		return &usageError{err}
+	}
+	report, err := experimenter.Run(ctx, plan, time.Now, os.Stderr)
+	if err != nil {
+		return err
+	}
+	report.Print(cmd.Root().Writer)
+	if name := cmd.String("json"); name != "" {
+		return writeReport(name, report)
+	}
+	return nil
+}
+
+func writeReport(name string, report *experimenter.Report) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "write the report; name a file in a folder that exists")
+	}
+	if err := report.WriteJSON(f); err != nil {
+		return err
+	}
+	return errors.Wrap(f.Close(), "write the report")
+}
--- a/cmd/dandeliongrade/main.go
+++ b/cmd/dandeliongrade/main.go
@@ -55,7 +55,7 @@
 		Usage: "dispatch sub-second tasks: urgent first, each exactly once",
 		Commands: []*cli.Command{
 			entryCommand(), agentCommand(), platformCommand(), backendCommand(),
-			submitCommand(), configCommand(), demoCommand(), versionCommand(),
+			submitCommand(), loadCommand(), configCommand(), demoCommand(), versionCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- /dev/null
+++ b/internal/bench/experimenter/report.go
@@ -0,0 +1,130 @@
+package experimenter
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/front/client"
+)
+
+// slowdownScale is how many units of the histograms are a slowdown of one.
+const slowdownScale = 1000
+
+// Report is what a load measured.
+type Report struct {
+	// Urgent are the urgent jobs outside a crest, Crest those in it, and Long the
+	// jobs that are not urgent.
+	Urgent Class `json:"urgent"`
+	Crest  Class `json:"crest"`
+	Long   Class `json:"long"`
+	// Starts is how many tasks were started.
+	Starts float64 `json:"starts"`
+	// Wasted is how many messages that carried neither a start nor an end there
+	// were for each start.
+	Wasted float64 `json:"wasted_messages_per_start"`
+	// EntryMicroseconds and AgentMicroseconds are the processor time for each start
+	// in all processes of a role, zero when it was not measured.
+	EntryMicroseconds float64 `json:"entry_cpu_us_per_start"`
+	AgentMicroseconds float64 `json:"agent_cpu_us_per_start"`
+
+	plan *Plan
+}
+
+// Class is what was measured of one class of jobs.
+type Class struct {
+	Jobs     int `json:"jobs"`
+	Complete int `json:"complete"`
+	// Refused jobs were refused as not run; Failed ones got any other answer, or none.
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+	// The slowdowns are latencies against the longest run of the job.
+	P50  float64 `json:"slowdown_p50"`
+	P99  float64 `json:"slowdown_p99"`
+	P999 float64 `json:"slowdown_p999"`
+	// Goodput is the run time of complete jobs, in seconds of work.
+	Goodput float64 `json:"goodput_seconds"`
+
+	slowdowns *hdrhistogram.Histogram
+}
+
+func newReport(p *Plan) *Report {
+	r := &Report{plan: p}
+	for _, c := range []*Class{&r.Urgent, &r.Crest, &r.Long} {
+		c.slowdowns = hdrhistogram.New(1, int64(time.Hour/time.Millisecond)*slowdownScale, 3)
+	}
+	return r
+}
+
+func (r *Report) add(o outcome) {
+	c := &r.Urgent
+	switch {
+	case !o.arrival.urgent:
+		c = &r.Long
+	case o.arrival.crest:
+		c = &r.Crest
+	}
+	c.add(o)
+}
+
+func (c *Class) add(o outcome) {
+	c.Jobs++
+	var refused *client.RefusedError
+	switch {
+	case o.err == nil && o.answer.Complete():
+		c.Complete++
+		ratio := float64(o.latency) / float64(o.arrival.ideal())
+		_ = c.slowdowns.RecordValue(int64(ratio * slowdownScale))
+		for _, run := range o.arrival.runs {
+			c.Goodput += run.Seconds()
+		}
+	case errors.As(o.err, &refused) && refused.NotRun:
+		c.Refused++
+	default:
+		c.Failed++
+	}
+}
+
+// finish computes the measures from the histograms and from the growth of metrics.
+func (r *Report) finish(growth scraped) {
+	for _, c := range []*Class{&r.Urgent, &r.Crest, &r.Long} {
+		quantile := func(q float64) float64 { return float64(c.slowdowns.ValueAtQuantile(q)) / slowdownScale }
+		c.P50, c.P99, c.P999 = quantile(50), quantile(99), quantile(99.9)
+	}
+	e, a := growth.entries, growth.agents
+	r.Starts = e["dandeliongrade_entry_starts_total"]
+	if r.Starts == 0 {
+		return
+	}
+	wasted := e["dandeliongrade_entry_wants_total"] + e["dandeliongrade_entry_returns_total"] +
+		e["dandeliongrade_entry_not_started_total"] + e["dandeliongrade_entry_revokes_total"] +
+		a["dandeliongrade_agent_grants_total"] + a["dandeliongrade_agent_recalls_total"]
+	r.Wasted = wasted / r.Starts
+	r.EntryMicroseconds = e["process_cpu_seconds_total"] * 1e6 / r.Starts
+	r.AgentMicroseconds = a["process_cpu_seconds_total"] * 1e6 / r.Starts
+}
+
+// Print writes the report for a person.
+func (r *Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "%-8s %7s %9s %8s %7s %8s %8s %8s %9s\n", "class", "jobs", "complete", "refused", "failed", "p50", "p99", "p99.9", "goodput")
+	for _, row := range []struct {
+		name  string
+		class *Class
+	}{{"urgent", &r.Urgent}, {"crest", &r.Crest}, {"long", &r.Long}} {
+		c := row.class
+		fmt.Fprintf(w, "%-8s %7d %9d %8d %7d %8.2f %8.2f %8.2f %8.1fs\n", row.name, c.Jobs, c.Complete, c.Refused, c.Failed, c.P50, c.P99, c.P999, c.Goodput)
+	}
+	fmt.Fprintf(w, "starts %.0f, wasted messages per start %.3f, processor per start: entries %.1f us, agents %.1f us\n",
+		r.Starts, r.Wasted, r.EntryMicroseconds, r.AgentMicroseconds)
+}
+
+// WriteJSON writes the report for a program.
+func (r *Report) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return errors.Wrap(enc.Encode(r), "write the report")
+}
--- a/internal/config/checker/fields.go
+++ b/internal/config/checker/fields.go
@@ -173,6 +173,16 @@
 	}}
 }
 
+// Then adds an action after a field was read.
+func Then(f Field, act func()) Field {
+	read := f.read
+	f.read = func(c *cursor) {
+		read(c)
+		act()
+	}
+	return f
+}
+
 // Require marks a field as one that must be present.
 func Require(f Field) Field {
 	f.Required = true
--- a/internal/config/loader/loader.go
+++ b/internal/config/loader/loader.go
@@ -19,6 +19,7 @@
 	RoleAgent    Role = "agent"
 	RolePlatform Role = "platform"
 	RoleBackend  Role = "backend"
+	RoleLoad     Role = "load"
 )
 
 // Settings are the settings of one role.
@@ -52,13 +53,14 @@
 	return checker.Check(file, src, fields, settings.Relations()...)
 }
 
-// Check finds the faults of a settings file of any role.
-func Check(file string) checker.Faults {
+// Check finds the faults of a settings file of any role of this package, or of those
+// given besides.
+func Check(file string, more ...Settings) checker.Faults {
 	src, err := os.ReadFile(file)
 	if err != nil {
 		return unreadable(file, err)
 	}
-	for _, s := range []Settings{DefaultEntry(), DefaultAgent(), DefaultPlatform(), DefaultBackend()} {
+	for _, s := range append(more, DefaultEntry(), DefaultAgent(), DefaultPlatform(), DefaultBackend()) {
 		faults := Parse(file, src, s)
 		if !otherRole(faults) {
 			return faults
@@ -84,7 +86,7 @@
 
 func unknownRole(file string, src []byte) checker.Faults {
 	var role string
-	roles := []string{string(RoleEntry), string(RoleAgent), string(RolePlatform), string(RoleBackend)}
+	roles := []string{string(RoleEntry), string(RoleAgent), string(RolePlatform), string(RoleBackend), string(RoleLoad)}
 	faults := checker.Check(file, src, checker.Object{
 		checker.Require(checker.OneOf(roleField, &role, roles, "the kind of process that the file is for")),
 	})
