Refuse early what cannot end before its deadline

Cause: at a crest of 4.5 times, jobs were admitted that would just begin before their deadline; they took slots and failed. Change: the estimate of the wait allows three mean runs for the job's own tasks.

--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -32,6 +32,10 @@
 	TypicalRun time.Duration
 }
 
+// runAllowance is how many mean runs a job is given for the runs of its own tasks,
+// of which the longest counts.
+const runAllowance = 3
+
 // Owner is the state of one entry's partitions. It is not safe for use by
 // several goroutines at once.
 type Owner struct {
@@ -379,10 +383,11 @@
 	if slots == 0 {
 		return nil
 	}
-	rounds := (o.queue.Ahead(j.Submission.Workspace, j.Urgent) + len(j.Inputs) - 1) / slots
-	wait := time.Duration(rounds) * o.runs.Mean(j.Template, o.settings.TypicalRun)
-	if wait > j.Budget {
-		return overloaded(wait - j.Budget)
+	run := o.runs.Mean(j.Template, o.settings.TypicalRun)
+	ahead := o.queue.Ahead(j.Submission.Workspace, j.Urgent) + len(j.Inputs) - 1
+	wait := time.Duration(ahead) * run / time.Duration(slots)
+	if late := wait + runAllowance*run - j.Budget; late > 0 {
+		return overloaded(late)
 	}
 	return nil
 }
