--- /dev/null
+++ b/internal/bench/planner/planner.go
@@ -0,0 +1,172 @@
+// Package planner works out what each role needs at a given size, from slopes that
+// were measured. The page docs/CAPACITY.md shows its tables, and a test holds them
+// there, so that page and slopes cannot drift apart.
+package planner
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+)
+
+// Slopes are measured costs. docs/slopes.json holds them with the runs they are from.
+type Slopes struct {
+	// EntryStartUS and AgentStartUS are processor time for each start in all
+	// processes of a role, in microseconds, the whole path with HTTP.
+	EntryStartUS float64 `json:"entry_cpu_us_per_start"`
+	AgentStartUS float64 `json:"agent_cpu_us_per_start"`
+	// EntryIdleUS is the processor time of an idle entry, EntryLinkUS that for each
+	// linked agent, AgentLinkUS that of an agent for each linked entry, all in
+	// microseconds a second.
+	EntryIdleUS float64 `json:"entry_idle_cpu_us_per_second"`
+	EntryLinkUS float64 `json:"entry_cpu_us_per_second_per_agent"`
+	AgentLinkUS float64 `json:"agent_cpu_us_per_second_per_entry"`
+	// IdentityBytes and TaskBytes are the memory of an identity held by its owner,
+	// without results, and of each of its tasks; RecordBytes that of a start held by
+	// an agent.
+	IdentityBytes float64 `json:"identity_bytes"`
+	TaskBytes     float64 `json:"identity_bytes_per_task"`
+	RecordBytes   float64 `json:"record_bytes"`
+	// EntryBaseMB and AgentBaseMB are the resident memory of a process that holds
+	// nothing, in megabytes.
+	EntryBaseMB float64 `json:"entry_base_mb"`
+	AgentBaseMB float64 `json:"agent_base_mb"`
+	// The sizes of messages on a link, in bytes, without inputs and results.
+	StartBytes     float64 `json:"start_message_bytes"`
+	EndedBytes     float64 `json:"ended_message_bytes"`
+	AskBytes       float64 `json:"ask_tenure_message_bytes"`
+	TenureBytes    float64 `json:"tenure_message_bytes"`
+	HeartbeatBytes float64 `json:"heartbeat_message_bytes"`
+	// Wasted is how many messages without a start or an end there are for each start.
+	Wasted float64 `json:"wasted_messages_per_start"`
+}
+
+// Size is what a deployment is planned for.
+type Size struct {
+	Workers int
+	Starts  float64 // a second, at the peak
+	Tasks   float64 // in a job
+	Cells   int
+	Entries int // in a cell
+	// Restarts are the workers that are restarted or replaced in a day.
+	Restarts float64
+	// Changes are the changes of configuration in a day.
+	Changes   float64
+	Retention time.Duration
+	Refresh   time.Duration
+	Heartbeat time.Duration
+}
+
+// Bounds are what may be spent on control.
+type Bounds struct {
+	CorePercent float64
+	MemoryMB    float64
+	BytesPerS   float64
+	// Reads and Writes are what the table service takes, a second.
+	Reads, Writes float64
+}
+
+// LetterSize is the size that the project is to reach, a data centre being a cell.
+var LetterSize = Size{
+	Workers: 24_000, Starts: 550_000, Tasks: 130, Cells: 15, Entries: 8,
+	Restarts: 8_100, Changes: 47_000,
+	Retention: 15 * time.Minute, Refresh: 500 * time.Millisecond, Heartbeat: 250 * time.Millisecond,
+}
+
+// LetterBounds are the bounds of that size.
+var LetterBounds = Bounds{CorePercent: 1.1, MemoryMB: 128, BytesPerS: 5_000, Reads: 2_000, Writes: 300}
+
+const secondsPerDay = 24 * 60 * 60
+
+// row is one line of a table.
+type row struct {
+	what  string
+	value float64
+	unit  string
+	bound float64 // zero for none
+	from  string
+}
+
+// Tables returns the tables of the page, in Markdown.
+func Tables(s Slopes, size Size, bounds Bounds) string {
+	var out strings.Builder
+	section(&out, "Agent, on each worker", agentRows(s, size, bounds))
+	section(&out, "Entry", entryRows(s, size))
+	section(&out, "Table service, for all cells together", tableRows(size, bounds))
+	return out.String()
+}
+
+func section(out *strings.Builder, title string, rows []row) {
+	fmt.Fprintf(out, "### %s\n\n| what | at that size | bound | worked out from |\n|---|---|---|---|\n", title)
+	for _, r := range rows {
+		bound := ""
+		if r.bound > 0 {
+			bound = fmt.Sprintf("%s %s, kept", number(r.bound), r.unit)
+			if r.value > r.bound {
+				bound = fmt.Sprintf("%s %s, **MISSED**", number(r.bound), r.unit)
+			}
+		}
+		fmt.Fprintf(out, "| %s | %s %s | %s | %s |\n", r.what, number(r.value), r.unit, bound, r.from)
+	}
+	out.WriteString("\n")
+}
+
+// number prints three significant digits, and whole numbers from a hundred on.
+func number(v float64) string {
+	if v >= 100 {
+		return fmt.Sprintf("%.0f", v)
+	}
+	digits := 2 - int(math.Floor(math.Log10(max(v, 0.001))))
+	return fmt.Sprintf("%.*f", min(max(digits, 0), 4), v)
+}
+
+func agentRows(s Slopes, size Size, bounds Bounds) []row {
+	starts := size.Starts / float64(size.Workers)
+	links := float64(size.Entries)
+	beats := 1 / size.Heartbeat.Seconds()
+	cpu := (starts*s.AgentStartUS + links*s.AgentLinkUS) / 1e6 * 100
+	records := starts * size.Retention.Seconds()
+	perStart := s.StartBytes + s.EndedBytes + s.Wasted*s.HeartbeatBytes*2
+	perLink := beats * (s.AskBytes + s.TenureBytes)
+	return []row{
+		{"starts", starts, "a second", 0, "all starts over all workers"},
+		{"links", links, "", 0, "one to each entry of the cell"},
+		{"processor", cpu, "% of a core", bounds.CorePercent, "processor per start and per link"},
+		{"records of starts", records, "", 0, "starts over the retention"},
+		{"memory", s.AgentBaseMB + records*s.RecordBytes/1e6, "MB", bounds.MemoryMB, "a bare process and the records"},
+		{"bytes for starts", starts * perStart, "a second", 0, "start and end, without inputs and results"},
+		{"bytes for links", links * perLink, "a second", 0, "tenure questions and answers at each heartbeat"},
+		{"bytes", starts*perStart + links*perLink, "a second", bounds.BytesPerS, "both"},
+	}
+}
+
+func entryRows(s Slopes, size Size) []row {
+	agents := float64(size.Workers) / float64(size.Cells)
+	starts := size.Starts / float64(size.Cells*size.Entries)
+	cores := (starts*s.EntryStartUS + s.EntryIdleUS + agents*s.EntryLinkUS) / 1e6
+	identities := starts / size.Tasks * size.Retention.Seconds()
+	identity := s.IdentityBytes + size.Tasks*s.TaskBytes
+	return []row{
+		{"agents linked", agents, "", 0, "all of its cell"},
+		{"starts", starts, "a second", 0, "the cell's, shared by its entries"},
+		{"processor", cores, "cores", 0, "processor per start, per link, and idle"},
+		{"identities", identities, "", 0, "jobs over the retention"},
+		{"memory", s.EntryBaseMB + identities*identity/1e6, "MB", 0, "a bare process and the identities, without results"},
+		{"seal of all agents", agents * s.EndedBytes / 1e3, "kB", 0, "one message each way, before the records"},
+		{"records in a takeover", starts * size.Retention.Seconds(), "", 0, "the starts of the entry that died, over the retention"},
+	}
+}
+
+func tableRows(size Size, bounds Bounds) []row {
+	entries := float64(size.Cells * size.Entries)
+	perCell := float64(size.Workers) / float64(size.Cells)
+	return []row{
+		{"reads by entries", entries / size.Refresh.Seconds(), "a second", bounds.Reads, "each reads its cell's assignment at each refresh"},
+		{"writes by agents", 2 * size.Restarts / secondsPerDay, "a second", bounds.Writes, "two for each restart: joined, left"},
+		{"writes of configuration", size.Changes / secondsPerDay, "a second", bounds.Writes, "one for each change; not built"},
+		{"reads when an entry dies", perCell * 1.5, "within 2 s", 2 * bounds.Reads, "each agent of the cell looks for a newer list, at varied pauses"},
+		{"writes when a data centre returns", perCell, "in all", 0, "one for each agent"},
+		{"time for these", perCell / bounds.Writes, "s", 0, "at the writes that the table takes"},
+	}
+}
--- a/internal/bench/prover/matrix_test.go
+++ b/internal/bench/prover/matrix_test.go
@@ -57,29 +57,29 @@
 
 func ownerGate(_ *world, owner, _ *process) *gate { return owner.gate }
 func otherGate(_ *world, _, other *process) *gate { return other.gate }
-func agentGate(w *world, _, _ *process) *gate     { return w.agents[0].gate }
+func agentGate(w *world, _, _ *process) *gate     { return w.agent().gate }
 
 var faults = []fault{
 	{"none", func(*world, *process, *process) {}, false},
 	{"owner killed", func(w *world, owner, _ *process) { w.kill(owner) }, false},
 	{"other entry killed", func(w *world, _, other *process) { w.kill(other) }, false},
-	{"agent killed", func(w *world, _, _ *process) { w.kill(w.agents[0]) }, true},
+	{"agent killed", func(w *world, _, _ *process) { w.kill(w.agent()) }, true},
 	{"agent restarted", func(w *world, _, _ *process) {
-		w.kill(w.agents[0])
-		w.agents[0] = w.startAgent(0)
+		w.kill(w.agent())
+		w.replaceAgent()
 	}, true},
 	{"owner frozen", passing(
 		func(_ *world, owner, _ *process) { owner.gate.freeze() },
 		func(_ *world, owner, _ *process) { owner.gate.thaw() }), false},
 	{"agent frozen", passing(
-		func(w *world, _, _ *process) { w.agents[0].gate.freeze() },
-		func(w *world, _, _ *process) { w.agents[0].gate.thaw() }), false},
+		func(w *world, _, _ *process) { w.agent().gate.freeze() },
+		func(w *world, _, _ *process) { w.agent().gate.thaw() }), false},
 	{"owner and agent cut", cut(ownerGate, agentGate, true), false},
 	{"owner to agent lost", cut(ownerGate, agentGate, false), false},
 	{"agent to owner lost", cut(agentGate, ownerGate, false), false},
 	{"entries cut", cut(ownerGate, otherGate, true), false},
 	{"other to owner lost", cut(otherGate, ownerGate, false), false},
-	{"agent's connection silent", func(w *world, owner, _ *process) { w.net.silence(owner.gate, w.agents[0].gate) }, false},
+	{"agent's connection silent", func(w *world, owner, _ *process) { w.net.silence(owner.gate, w.agent().gate) }, false},
 	{"entries' connection silent", func(w *world, owner, other *process) { w.net.silence(owner.gate, other.gate) }, false},
 	{"table down", passing(
 		func(w *world, _, _ *process) { w.setTable(true, 0, 0) },
@@ -88,11 +88,11 @@
 		func(w *world, _, _ *process) { w.setTable(false, 800*time.Millisecond, 0) },
 		func(w *world, _, _ *process) { w.setTable(false, 0, 0) }), false},
 	{"table replies lost", func(w *world, _, _ *process) { w.setTable(false, 0, 3) }, false},
-	{"backend fails all", func(w *world, _, _ *process) { w.backends[0].fails = true }, true},
-	{"straggler", func(w *world, _, _ *process) { w.straggler = true }, false},
+	{"backend fails all", func(w *world, _, _ *process) { w.failBackend() }, true},
+	{"straggler", func(w *world, _, _ *process) { w.setStraggler() }, false},
 	{"owner stopped", func(_ *world, owner, _ *process) { owner.stop() }, false},
 	{"other entry stopped", func(_ *world, _, other *process) { other.stop() }, false},
-	{"agent stopped", func(w *world, _, _ *process) { w.agents[0].stop() }, false},
+	{"agent stopped", func(w *world, _, _ *process) { w.agent().stop() }, false},
 }
 
 // step is when a fault strikes, counted from the submission through the entry that
@@ -142,7 +142,7 @@
 		last := []*answered{w.submit(other, job), w.submit(owner, job)}
 		time.Sleep(25 * time.Second)
 		for _, a := range last {
-			complete = complete || (a.done && a.answer.Complete)
+			complete = complete || (a.done() && a.answer.Complete)
 		}
 		verdict = w.close()
 	})
--- a/internal/bench/prover/world_test.go
+++ b/internal/bench/prover/world_test.go
@@ -94,12 +94,9 @@
 		return describer.Result{}, err
 	}
 	b.world.began(m.Task)
-	run := b.world.run
-	if b.world.straggler && m.Task.Index == 0 {
-		run *= 40
-	}
+	run, fails := b.world.draw(b, m.Task)
 	time.Sleep(run)
-	if b.fails {
+	if fails {
 		return describer.Result{Outcome: describer.Failed}, nil
 	}
 	return describer.Result{Outcome: describer.Succeeded, Body: []byte(m.Task.String())}, nil
@@ -135,6 +132,7 @@
 	gate  *gate
 	stop  context.CancelFunc
 	entry *entry.Runner
+	ended chan struct{}
 }
 
 func newWorld(t *testing.T) *world {
@@ -172,7 +170,9 @@
 	settings.Name = identifier.Agent(fmt.Sprintf("a%d", i+1))
 	p := &process{name: string(settings.Name), gate: newGate()}
 	b := &backend{world: w, gate: p.gate}
+	w.mu.Lock()
 	w.backends = append(w.backends, b)
+	w.mu.Unlock()
 	edges := agent.Edges{Table: &table{w, p.gate}, Backend: b, Dial: w.net.dialer(p.gate)}
 	r := agent.New(settings, zap.NewNop(), time.Now, edges)
 	w.begin(p, r.Run)
@@ -181,8 +181,11 @@
 
 func (w *world) begin(p *process, run func(context.Context) error) {
 	ctx, stop := context.WithCancel(w.ctx)
-	p.stop = stop
-	w.processes.Go(func() { _ = run(ctx) })
+	p.stop, p.ended = stop, make(chan struct{})
+	w.processes.Go(func() {
+		_ = run(ctx)
+		close(p.ended)
+	})
 }
 
 // kill ends a process at once: nothing of it gets out any more.
@@ -223,6 +226,45 @@
 	return w.starts[task] > 0
 }
 
+// draw returns how long a task runs at a backend server, and whether it fails.
+func (w *world) draw(b *backend, task identifier.Task) (run time.Duration, fails bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	run = w.run
+	if w.straggler && task.Index == 0 {
+		run *= 40
+	}
+	return run, b.fails
+}
+
+// agent returns the agent that faults strike.
+func (w *world) agent() *process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.agents[0]
+}
+
+// replaceAgent starts the next incarnation of that agent.
+func (w *world) replaceAgent() {
+	p := w.startAgent(0)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.agents = append(w.agents, w.agents[0])
+	w.agents[0] = p
+}
+
+func (w *world) failBackend() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.backends[0].fails = true
+}
+
+func (w *world) setStraggler() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.straggler = true
+}
+
 func (w *world) violate(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -234,7 +276,17 @@
 	submission identifier.Submission
 	entry      *process
 	answer     describer.Answer
-	done       bool
+	// given is closed when the answer has been given.
+	given chan struct{}
+}
+
+func (a *answered) done() bool {
+	select {
+	case <-a.given:
+		return true
+	default:
+		return false
+	}
 }
 
 // job returns a job of n tasks whose identity belongs to the wanted entry.
@@ -253,15 +305,18 @@
 // submit sends a job through an entry, and checks the answer when it comes. A dead
 // entry answers nobody.
 func (w *world) submit(p *process, job describer.Job) *answered {
-	a := &answered{submission: job.Submission, entry: p}
+	a := &answered{submission: job.Submission, entry: p, given: make(chan struct{})}
+	w.mu.Lock()
 	w.answers = append(w.answers, a)
+	w.mu.Unlock()
 	w.processes.Go(func() {
 		answer := p.entry.Submit(w.ctx, job)
 		if p.gate.pass(w.ctx) != nil {
 			return
 		}
-		a.answer, a.done = answer, true
+		a.answer = answer
 		w.check(a, len(job.Inputs))
+		close(a.given)
 	})
 	return a
 }
@@ -298,7 +353,7 @@
 func (w *world) checkTogether() {
 	complete := false
 	for _, a := range w.answers {
-		if !a.done || a.answer.Refusal != nil {
+		if !a.done() || a.answer.Refusal != nil {
 			continue
 		}
 		if complete && !a.answer.Complete {
--- a/internal/link/connector/link.go
+++ b/internal/link/connector/link.go
@@ -35,8 +35,9 @@
 
 // Link is an open connection. Send may be called by several goroutines at once.
 type Link struct {
-	// Beat returns the message that is sent at each heartbeat, by default an
-	// announcer.Heartbeat. It is set before Run.
+	// Beat returns the message that is sent at each heartbeat. Without it, an
+	// announcer.Heartbeat is sent when nothing else was since the last one. It is
+	// set before Run.
 	Beat func() any
 
 	conn   net.Conn
@@ -51,8 +52,7 @@
 
 // NewLink takes over a connection.
 func NewLink(conn net.Conn, timing Timing) *Link {
-	beat := func() any { return &announcer.Heartbeat{} }
-	return &Link{Beat: beat, conn: conn, timing: timing, wake: make(chan struct{}, 1)}
+	return &Link{conn: conn, timing: timing, wake: make(chan struct{}, 1)}
 }
 
 // Send queues a message. It never blocks; on a link that has ended the message
@@ -138,14 +138,21 @@
 	ticker := time.NewTicker(l.timing.Heartbeat)
 	defer ticker.Stop()
 	var batch []byte
+	wrote := false
 	for {
 		select {
 		case <-ctx.Done():
 			done <- nil
 			return
 		case <-ticker.C:
-			_ = l.Send(l.Beat())
+			if l.Beat != nil {
+				_ = l.Send(l.Beat())
+			} else if !wrote {
+				_ = l.Send(&announcer.Heartbeat{})
+			}
+			wrote = false
 		case <-l.wake:
+			wrote = true
 			batch = l.take(batch)
 			_ = l.conn.SetWriteDeadline(time.Now().Add(l.timing.Silence))
 			if _, err := l.conn.Write(batch); err != nil {
