--- a/internal/job/owner/agents.go
+++ b/internal/job/owner/agents.go
@@ -156,32 +156,42 @@
 		o.pool.Rest(agent, now.Add(restAfterUnreachable))
 	}
 	j, t := o.findSent(agent, m.Incarnation, m.Task)
-	if t != nil && t.attempt == m.Attempt && m.Reason != starter.Repeated {
+	if t != nil && t.epoch == m.Epoch && t.attempt == m.Attempt && m.Reason != starter.Repeated {
 		o.requeue(j, m.Task)
 	}
-	if m.Reason == starter.Unreachable {
-		o.freeEvidence(agent, m.Incarnation, m.Task)
+	h, e, ok := o.findEvidence(agent, m.Incarnation, m.Task)
+	if ok && e.epoch == m.Epoch && e.attempt == m.Attempt && m.Reason == starter.Unreachable {
+		h.free(m.Task, e)
 	}
 	return o.flush()
 }
 
-// Revoked takes an agent's word on a task that was in doubt.
+// Revoked takes an agent's word on a task that was in doubt. Attempts are counted anew
+// in each epoch, and an owner may lose a partition and claim it again while an answer
+// to a question of its earlier epoch is on its way; that one counts for nothing.
 func (o *Owner) Revoked(now time.Time, agent identifier.Agent, m *starter.Revoked) []Effect {
-	j, t := o.findSent(agent, m.Incarnation, m.Task)
+	h := o.holdings[m.Task.Submission.Partition(o.settings.Partitions)]
 	switch {
-	case t == nil || t.attempt != m.Attempt:
-	case !m.Started:
-		o.requeue(j, m.Task)
-	}
-	if m.Started {
+	case h == nil || h.epoch != m.Epoch:
+	case m.Started:
 		o.settleEnd(agent, m.Incarnation, m.Task, m.Result)
-	} else {
-		o.freeEvidence(agent, m.Incarnation, m.Task)
+	default:
+		o.settleRevoked(agent, m)
 	}
 	o.dispatch(now)
 	return o.flush()
 }
 
+// settleRevoked queues a task again that never started, or lets its evidence go.
+func (o *Owner) settleRevoked(agent identifier.Agent, m *starter.Revoked) {
+	if j, t := o.findSent(agent, m.Incarnation, m.Task); t != nil && t.attempt == m.Attempt {
+		o.requeue(j, m.Task)
+	}
+	if h, e, ok := o.findEvidence(agent, m.Incarnation, m.Task); ok && e.attempt == m.Attempt {
+		h.free(m.Task, e)
+	}
+}
+
 // settleEnd takes what an agent has on record of a task; a pending result changes
 // nothing.
 func (o *Owner) settleEnd(agent identifier.Agent, incarnation identifier.Incarnation, name identifier.Task, r describer.Result) {
@@ -225,10 +235,9 @@
 	}
 }
 
-// freeEvidence notes that a task which an earlier owner had sent never started.
-func (o *Owner) freeEvidence(agent identifier.Agent, incarnation identifier.Incarnation, name identifier.Task) {
-	h, e, ok := o.findEvidence(agent, incarnation, name)
-	if ok && e.result.Outcome == describer.Pending {
+// free notes that a task which an earlier owner had sent never started.
+func (h *holding) free(name identifier.Task, e evidence) {
+	if e.result.Outcome == describer.Pending {
 		e.free = true
 		h.evidence[name] = e
 	}
--- a/internal/job/owner/handover.go
+++ b/internal/job/owner/handover.go
@@ -42,6 +42,7 @@
 	Index       int
 	Agent       identifier.Agent
 	Incarnation identifier.Incarnation
+	Epoch       identifier.Epoch
 	Attempt     uint32
 	Result      describer.Result
 }
@@ -72,7 +73,7 @@
 		}
 		r := handed[name.Submission]
 		r.Submission, r.Digest = name.Submission, h.digests[name.Submission]
-		r.Tasks = append(r.Tasks, HandedTask{Index: name.Index, Agent: e.agent, Incarnation: e.incarnation, Attempt: e.attempt, Result: e.result})
+		r.Tasks = append(r.Tasks, HandedTask{Index: name.Index, Agent: e.agent, Incarnation: e.incarnation, Epoch: e.epoch, Attempt: e.attempt, Result: e.result})
 		handed[name.Submission] = r
 	}
 	o.book.Each(func(s identifier.Submission, j *job) {
@@ -96,7 +97,7 @@
 	}
 	for i, t := range j.tasks {
 		if t.state != waiting {
-			r.Tasks = append(r.Tasks, HandedTask{Index: i, Agent: t.agent, Incarnation: t.incarnation, Attempt: t.attempt, Result: t.result})
+			r.Tasks = append(r.Tasks, HandedTask{Index: i, Agent: t.agent, Incarnation: t.incarnation, Epoch: t.epoch, Attempt: t.attempt, Result: t.result})
 		}
 	}
 	return r
@@ -113,7 +114,7 @@
 		h.digests[r.Submission] = r.Digest
 		for _, t := range r.Tasks {
 			name := identifier.Task{Submission: r.Submission, Index: t.Index}
-			h.addRecord(name, evidence{agent: t.Agent, incarnation: t.Incarnation, attempt: t.Attempt, result: t.Result})
+			h.addRecord(name, evidence{agent: t.Agent, incarnation: t.Incarnation, epoch: t.Epoch, attempt: t.Attempt, result: t.Result})
 		}
 	}
 	return m.Last
--- a/internal/job/owner/holding.go
+++ b/internal/job/owner/holding.go
@@ -28,6 +28,7 @@
 type evidence struct {
 	agent       identifier.Agent
 	incarnation identifier.Incarnation
+	epoch       identifier.Epoch
 	attempt     uint32
 	result      describer.Result
 	// free means that the agent has since vouched that the attempt never started
@@ -66,7 +67,7 @@
 		case h.serving:
 			o.settleEnd(agent, incarnation, r.Task, r.Result)
 		default:
-			h.addRecord(r.Task, evidence{agent: agent, incarnation: incarnation, attempt: r.Attempt, result: r.Result})
+			h.addRecord(r.Task, evidence{agent: agent, incarnation: incarnation, epoch: r.Epoch, attempt: r.Attempt, result: r.Result})
 			h.digests[r.Task.Submission] = r.Digest
 		}
 	}
--- a/internal/job/owner/job.go
+++ b/internal/job/owner/job.go
@@ -32,7 +32,9 @@
 )
 
 type task struct {
-	state       state
+	state state
+	// epoch and attempt are those of the last start that was sent.
+	epoch       identifier.Epoch
 	attempt     uint32
 	agent       identifier.Agent
 	incarnation identifier.Incarnation
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -245,7 +245,7 @@
 		o.end(j, i, lostAgent())
 		return
 	}
-	j.tasks[i] = task{state: sent, attempt: e.attempt, agent: e.agent, incarnation: e.incarnation}
+	j.tasks[i] = task{state: sent, epoch: e.epoch, attempt: e.attempt, agent: e.agent, incarnation: e.incarnation}
 	o.markSent(e.agent, identifier.Task{Submission: j.Submission, Index: i})
 }
 
@@ -294,15 +294,16 @@
 	t := &j.tasks[name.Index]
 	t.state = sent
 	t.agent, t.incarnation = w.Agent, w.Incarnation
+	p := j.Submission.Partition(o.settings.Partitions)
+	t.epoch = o.holdings[p].epoch
 	t.attempt++
 	t.at = now
-	p := j.Submission.Partition(o.settings.Partitions)
 	o.markSent(w.Agent, name)
 	o.Counters.Starts++
 	o.send(w.Agent, &starter.Start{
 		Incarnation: w.Incarnation,
 		Partition:   p,
-		Epoch:       o.holdings[p].epoch,
+		Epoch:       t.epoch,
 		Task:        name,
 		Attempt:     t.attempt,
 		Digest:      j.digest,
--- a/internal/job/owner/owner_test.go
+++ b/internal/job/owner/owner_test.go
@@ -28,10 +28,13 @@
 	o      *Owner
 	last   uint64
 	handed []*Handover
+	// epoch is the one that agents' words are about.
+	epoch identifier.Epoch
 }
 
 // step knows these lines:
 //
+//	epoch EPOCH: what notstarted and revoked are about, else the last claim
 //	claim EPOCH; serve EPOCH [cutoff]; lose; confirm TENURE [WORD]; tick
 //	hand; take (the last handover)
 //	submit KEY TASKS [normal] [budget=D] [age=D] [text=T] [workspace=W]
@@ -50,7 +53,10 @@
 	incarnation := identifier.Incarnation(atoi(args[1]))
 	switch words[0] {
 	case "claim":
-		d.o.Claim(starter.Claim{Epoch: identifier.Epoch(atoi(args[0]))})
+		d.epoch = identifier.Epoch(atoi(args[0]))
+		d.o.Claim(starter.Claim{Epoch: d.epoch})
+	case "epoch":
+		d.epoch = identifier.Epoch(atoi(args[0]))
 	case "serve":
 		var cutoff time.Time
 		if args[1] == "cutoff" {
@@ -94,12 +100,12 @@
 		return show(d.o.Recalled(agent, &offerer.Recall{Incarnation: incarnation, Slots: atoi(args[2])}))
 	case "sealed":
 		return show(d.o.Sealed(agent, &starter.Sealed{Incarnation: incarnation, Records: []starter.Record{
-			{Task: task, Attempt: 1, Digest: digest(t, task), Result: describer.Result{Outcome: outcome(t, args[3])}},
+			{Task: task, Epoch: 1, Attempt: 1, Digest: digest(t, task), Result: describer.Result{Outcome: outcome(t, args[3])}},
 		}}))
 	case "bequest":
 		m := &starter.Bequest{Incarnation: incarnation, Last: args[2] == "last"}
 		if !m.Last {
-			m.Records = []starter.Record{{Task: task, Attempt: 1, Digest: digest(t, task), Result: describer.Result{Outcome: outcome(t, args[3])}}}
+			m.Records = []starter.Record{{Task: task, Epoch: 1, Attempt: 1, Digest: digest(t, task), Result: describer.Result{Outcome: outcome(t, args[3])}}}
 		}
 		return fmt.Sprintf("all of it %t", d.o.Inherit(now, agent, m))
 	case "inherited":
@@ -107,10 +113,10 @@
 	case "ended":
 		return show(d.o.Ended(now, agent, &starter.Ended{Incarnation: incarnation, Task: task, Result: describer.Result{Outcome: outcome(t, args[3])}, Granted: 1}))
 	case "notstarted":
-		m := &starter.NotStarted{Incarnation: incarnation, Task: task, Attempt: uint32(atoi(args[3])), Reason: reason(t, args[4]), Granted: 1}
+		m := &starter.NotStarted{Incarnation: incarnation, Task: task, Epoch: d.epoch, Attempt: uint32(atoi(args[3])), Reason: reason(t, args[4]), Granted: 1}
 		return show(d.o.NotStarted(now, agent, m))
 	case "revoked":
-		m := &starter.Revoked{Incarnation: incarnation, Task: task, Attempt: uint32(atoi(args[3])), Started: args[4] == "started"}
+		m := &starter.Revoked{Incarnation: incarnation, Task: task, Epoch: d.epoch, Attempt: uint32(atoi(args[3])), Started: args[4] == "started"}
 		if m.Started {
 			m.Result.Outcome = outcome(t, args[5])
 		}
--- a/internal/job/starter/messages.go
+++ b/internal/job/starter/messages.go
@@ -146,7 +146,9 @@
 type Record struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Task    identifier.Task
+	Task identifier.Task
+	// Epoch and Attempt are those of the start.
+	Epoch   identifier.Epoch
 	Attempt uint32
 	Digest  uint64
 	Result  describer.Result
--- a/internal/job/starter/starter.go
+++ b/internal/job/starter/starter.go
@@ -257,7 +257,7 @@
 }
 
 func (r *record) report(task identifier.Task) Record {
-	return Record{Task: task, Attempt: r.attempt, Digest: r.digest, Result: r.result}
+	return Record{Task: task, Epoch: r.epoch, Attempt: r.attempt, Digest: r.digest, Result: r.result}
 }
 
 // Running returns how many started tasks have not ended.
