--- a/internal/bench/prover/matrix_test.go
+++ b/internal/bench/prover/matrix_test.go
@@ -100,20 +100,40 @@
 type step struct {
 	name string
 	at   time.Duration
+	// during names a fault that has struck when the job was started; with it the
+	// whole answer is not asked for.
+	during string
 }
 
 // A message takes 1 ms and a task 50 ms, so that the steps are known times.
 var steps = []step{
-	{"before", -300 * time.Millisecond},
-	{"passed on", 500 * time.Microsecond},
-	{"admitted", 1200 * time.Microsecond},
-	{"start sent", 1700 * time.Microsecond},
-	{"started", 10 * time.Millisecond},
-	{"result sent", 52500 * time.Microsecond},
-	{"second round", 70 * time.Millisecond},
-	{"last result", 104500 * time.Microsecond},
-	{"answer sent", 105500 * time.Microsecond},
-	{"answered", 200 * time.Millisecond},
+	{name: "before", at: -300 * time.Millisecond},
+	{name: "passed on", at: 500 * time.Microsecond},
+	{name: "admitted", at: 1200 * time.Microsecond},
+	{name: "start sent", at: 1700 * time.Microsecond},
+	{name: "started", at: started},
+	{name: "result sent", at: 52500 * time.Microsecond},
+	{name: "second round", at: 70 * time.Millisecond},
+	{name: "last result", at: 104500 * time.Microsecond},
+	{name: "answer sent", at: 105500 * time.Microsecond},
+	{name: "answered", at: 200 * time.Millisecond},
+	{name: "in takeover", at: started + 1200*time.Millisecond, during: "owner killed"},
+	{name: "in entry's drain", at: started + 5*time.Millisecond, during: "owner stopped"},
+	{name: "in agent's drain", at: started + 5*time.Millisecond, during: "agent stopped"},
+}
+
+// started is when the first round of tasks runs.
+const started = 10 * time.Millisecond
+
+// strikes returns the faults of a cell of the matrix.
+func (s step) strikes(f fault) []strike {
+	all := []strike{{f, s}}
+	for _, base := range faults {
+		if base.name == s.during {
+			all = append(all, strike{base, step{name: "started", at: started}})
+		}
+	}
+	return all
 }
 
 // scenario runs a job in a new world with some faults, each at its step, and
@@ -168,11 +188,11 @@
 		fmt.Fprintf(&out, "| %s |", f.name)
 		whole := 0
 		for _, s := range steps {
-			verdict, complete := scenario(t, []strike{{f, s}})
+			verdict, complete := scenario(t, s.strikes(f))
 			if complete {
 				whole++
 			}
-			fmt.Fprintf(&out, " %s |", cell(t, f.name+" at "+s.name, verdict, complete, f.lossy))
+			fmt.Fprintf(&out, " %s |", cell(t, f.name+" at "+s.name, verdict, complete, f.lossy || s.during != ""))
 		}
 		t.Logf("%s: %d of %d answers are whole", f.name, whole, len(steps))
 		out.WriteString("\n")
@@ -208,8 +228,8 @@
 			whole, total := 0, 0
 			for _, second := range faults[i:] {
 				for _, gap := range gaps {
-					at := steps[4]
-					later := step{"later", at.at + gap}
+					at := step{name: "started", at: started}
+					later := step{name: "later", at: started + gap}
 					verdict, complete := scenario(t, []strike{{first, at}, {second, later}})
 					total++
 					if complete {
