Split the largest files by what they are about

Nothing else changes. Ruled out: packages of their own, which would share the same state. Conclusion: one matter a file.

--- a/internal/entry/runner/follow.go
+++ b/internal/entry/runner/follow.go
@@ -8,13 +8,10 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
-	"github.com/dandeliongrade/dandeliongrade/internal/job/owner"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/claimer"
-	"github.com/dandeliongrade/dandeliongrade/internal/member/sealer"
 	"github.com/dandeliongrade/dandeliongrade/internal/platform/keeper"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 )
@@ -122,32 +119,6 @@
 	return claims, true
 }
 
-// handOver passes a lost partition to its new owner, if that is linked. The new
-// owner does without when it is not.
-func (r *Runner) handOver(p identifier.Partition) {
-	link := r.dialled[r.claimer.Owner(p)]
-	if link == nil {
-		return
-	}
-	for _, m := range r.owner.Hand(p) {
-		r.sendOn(link, m)
-	}
-}
-
-// takeHandover adds a handover to the evidence, and serves the partition when that
-// is complete. The agents are sealed all the same: they report to the new owner
-// then, and refuse the earlier one.
-func (r *Runner) takeHandover(now time.Time, m *owner.Handover) {
-	if !r.owner.Take(m) {
-		return
-	}
-	for _, t := range r.takeovers {
-		t.Handed(m.Partition)
-	}
-	claim := starter.Claim{Partition: m.Partition, Epoch: m.Epoch + 1}
-	r.perform(r.owner.Serve(now, claim, m.Cutoff))
-}
-
 // claim begins to own partitions, and serves those that never had an owner.
 func (r *Runner) claim(now time.Time, claimed []claimer.Claimed) []starter.Claim {
 	var claims []starter.Claim
@@ -200,156 +171,8 @@
 	})
 }
 
-// takeOver reads the roster, after the claims were read back, and asks the agents
-// to seal them.
-func (r *Runner) takeOver(ctx context.Context, claims []starter.Claim) error {
-	r.mu.Lock()
-	r.unsealed = append(r.unsealed, claims...)
-	wanted := len(r.unsealed)
-	r.mu.Unlock()
-	if wanted == 0 {
-		return nil
-	}
-	roster, err := r.readRoster(ctx)
-	if err != nil {
-		return err
-	}
-	now := r.clock()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	tenure := r.settings.Tenure + r.settings.Tenure/driftDivisor
-	word := r.word() + r.word()/driftDivisor
-	t := sealer.New(now, r.unsealed, roster, r.owner.Inherited, tenure, word, r.settings.Retention+r.settings.ClockBound)
-	if !r.claimer.Acknowledged() {
-		t.Strict()
-	}
-	r.unsealed = nil
-	r.takeovers = append(r.takeovers, t)
-	for name, a := range r.agents {
-		r.askSeal(t, name, a.incarnation)
-	}
-	r.checkTakeovers(now)
-	return nil
-}
-
-// checkReach compares the roster with the linked agents, while an entry is cut off
-// from this one.
-func (r *Runner) checkReach(ctx context.Context) error {
-	r.mu.Lock()
-	cut := r.claimer.CutOff(r.clock())
-	r.mu.Unlock()
-	if !cut {
-		return nil
-	}
-	roster, err := r.readRoster(ctx)
-	if err != nil {
-		return err
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	all := true
-	for _, m := range roster {
-		all = all && (!m.Left.IsZero() || r.agents[m.Agent].incarnation == m.Incarnation)
-	}
-	r.claimer.Reaches(all)
-	return nil
-}
-
-func (r *Runner) readRoster(ctx context.Context) ([]announcer.Member, error) {
-	records, err := r.edges.Table.Scan(ctx, announcer.Prefix)
-	if err != nil {
-		return nil, errors.Wrap(err, "read the roster")
-	}
-	return parseRoster(records)
-}
-
 // word is how long a reading of the assignment lets this entry say that something
 // was not run. It is short, for a takeover waits for its end.
 func (r *Runner) word() time.Duration {
 	return r.settings.Refresh + r.settings.Refresh/2
 }
-
-// inherit keeps the records of an agent that leaves, for the takeovers that are
-// under way and those to come.
-func (r *Runner) inherit(now time.Time, agent identifier.Agent, m *starter.Bequest) {
-	if !r.owner.Inherit(now, agent, m) || !r.owner.Inherited(agent, m.Incarnation) {
-		return
-	}
-	for _, t := range r.takeovers {
-		t.Inherited(agent, m.Incarnation)
-	}
-}
-
-func parseRoster(records []keeper.Record) ([]announcer.Member, error) {
-	roster := make([]announcer.Member, 0, len(records))
-	for _, record := range records {
-		m, err := announcer.Parse(record.Value)
-		if err != nil {
-			return nil, err
-		}
-		roster = append(roster, m)
-	}
-	return roster, nil
-}
-
-func (r *Runner) askSeal(t *sealer.Takeover, agent identifier.Agent, incarnation identifier.Incarnation) {
-	if m := t.Linked(agent, incarnation); m != nil {
-		r.sendAgent(agent, m)
-	}
-}
-
-// checkTakeovers serves the partitions whose takeover is done.
-func (r *Runner) checkTakeovers(now time.Time) {
-	var open []*sealer.Takeover
-	for _, t := range r.takeovers {
-		done, cautious := t.Done(now)
-		if !done {
-			open = append(open, t)
-			continue
-		}
-		var cutoff time.Time
-		if cautious {
-			cutoff = now.Add(r.settings.ClockBound)
-		}
-		claims := t.Open()
-		for _, c := range claims {
-			r.perform(r.owner.Serve(now, c, cutoff))
-		}
-		r.log.Info("taken_over", zap.Int("handed", len(t.Claims)-len(claims)), zap.Int("sealed", len(claims)), zap.Bool("cautious", cautious))
-	}
-	r.takeovers = open
-}
-
-// leave gives the partitions to other entries, and returns when none is left or
-// nobody takes them.
-func (r *Runner) leave() {
-	if err := r.life.Drain(); err != nil {
-		r.log.Error("life_cycle", logger.Error(err))
-	}
-	r.mu.Lock()
-	r.claimer.Leave()
-	r.mu.Unlock()
-	limit := time.NewTimer(r.leaveWait())
-	defer limit.Stop()
-	for {
-		r.mu.Lock()
-		left := r.claimer.Owned()
-		alone := !r.claimer.Accompanied(r.clock())
-		moved := r.moved
-		r.mu.Unlock()
-		if left == 0 || alone {
-			return
-		}
-		select {
-		case <-moved:
-		case <-limit.C:
-			return
-		}
-	}
-}
-
-// leaveWait is time for this entry to say that it leaves, for the others to see
-// it, and for this one to see that they have claimed.
-func (r *Runner) leaveWait() time.Duration {
-	return 4 * r.settings.Refresh
-}
--- /dev/null
+++ b/internal/entry/runner/leave.go
@@ -0,0 +1,41 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
+)
+
+// leave gives the partitions to other entries, and returns when none is left or
+// nobody takes them.
+func (r *Runner) leave() {
+	if err := r.life.Drain(); err != nil {
+		r.log.Error("life_cycle", logger.Error(err))
+	}
+	r.mu.Lock()
+	r.claimer.Leave()
+	r.mu.Unlock()
+	limit := time.NewTimer(r.leaveWait())
+	defer limit.Stop()
+	for {
+		r.mu.Lock()
+		left := r.claimer.Owned()
+		alone := !r.claimer.Accompanied(r.clock())
+		moved := r.moved
+		r.mu.Unlock()
+		if left == 0 || alone {
+			return
+		}
+		select {
+		case <-moved:
+		case <-limit.C:
+			return
+		}
+	}
+}
+
+// leaveWait is time for this entry to say that it leaves, for the others to see
+// it, and for this one to see that they have claimed.
+func (r *Runner) leaveWait() time.Duration {
+	return 4 * r.settings.Refresh
+}
--- /dev/null
+++ b/internal/job/owner/dispatch.go
@@ -0,0 +1,74 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/dispatcher"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
+)
+
+// dispatch sends waiting tasks as long as there are slots and tenure.
+func (o *Owner) dispatch(now time.Time) {
+	if !now.Before(o.tenure) {
+		return
+	}
+	begun := len(o.effects)
+	for o.queue.Len() > 0 && o.pool.Free() > 0 {
+		it, _ := o.queue.Pop()
+		j, ok := o.book.Find(it.Task.Submission)
+		if !ok || j.ended || j.tasks[it.Task.Index].state != waiting {
+			continue
+		}
+		w := o.pool.Take(now)
+		if w == nil {
+			o.queue.PushFront(it)
+			break
+		}
+		o.start(now, j, it.Task, w)
+	}
+	o.tellWaiting(o.effects[begun:])
+	if o.queue.Len() > 0 {
+		o.want()
+	}
+}
+
+// tellWaiting puts into each start how much work waits once all of them are sent.
+// A count from in between would make agents find slots for work that others have
+// got by then.
+func (o *Owner) tellWaiting(effects []Effect) {
+	for _, e := range effects {
+		s, ok := e.(Send)
+		if !ok {
+			continue
+		}
+		if m, ok := s.Message.(*starter.Start); ok {
+			m.Waiting = o.queue.Len()
+			o.pool.Worker(s.Agent).Told = m.Waiting > 0
+		}
+	}
+}
+
+func (o *Owner) start(now time.Time, j *job, name identifier.Task, w *dispatcher.Worker) {
+	t := &j.tasks[name.Index]
+	t.state = sent
+	t.agent, t.incarnation = w.Agent, w.Incarnation
+	p := j.Submission.Partition(o.settings.Partitions)
+	t.epoch = o.holdings[p].epoch
+	t.attempt++
+	t.at = now
+	o.markSent(w.Agent, name)
+	o.Counters.Starts++
+	o.send(w.Agent, &starter.Start{
+		Incarnation: w.Incarnation,
+		Partition:   p,
+		Epoch:       t.epoch,
+		Task:        name,
+		Attempt:     t.attempt,
+		Digest:      j.digest,
+		Path:        j.Path,
+		Timeout:     j.Timeout,
+		NotRepeated: j.NotRepeated,
+		Input:       j.Inputs[name.Index],
+	})
+}
