Keep the identities of each partition by themselves

Cause: the loss and the handover of a partition each went through all identities of the entry, once for each partition, while the entry's lock was held. Change: each partition has its own book of identities; losing it drops the book. Ruled out: an index beside one book, which is the same twice.

--- a/internal/job/admitter/admitter.go
+++ b/internal/job/admitter/admitter.go
@@ -82,11 +82,6 @@
 	return p.kept, true
 }
 
-// Remove forgets a submission. It is for partitions that have another owner now.
-func (b *Book[T]) Remove(s identifier.Submission) {
-	delete(b.pages, s)
-}
-
 // Each calls f for each submission that is kept, in no order.
 func (b *Book[T]) Each(f func(identifier.Submission, T)) {
 	for s, p := range b.pages {
--- a/internal/job/owner/agents.go
+++ b/internal/job/owner/agents.go
@@ -21,7 +21,7 @@
 func (o *Owner) AgentLinked(agent identifier.Agent, incarnation identifier.Incarnation) []Effect {
 	o.pool.Link(agent, incarnation)
 	for _, name := range sortedTasks(o.sent[agent]) {
-		j, ok := o.book.Find(name.Submission)
+		j, ok := o.find(name.Submission)
 		if !ok || j.ended {
 			continue
 		}
@@ -214,7 +214,7 @@
 // findSent returns the task if it was sent to this incarnation of the agent and
 // has not ended.
 func (o *Owner) findSent(agent identifier.Agent, incarnation identifier.Incarnation, name identifier.Task) (*job, *task) {
-	j, ok := o.book.Find(name.Submission)
+	j, ok := o.find(name.Submission)
 	if !ok || j.ended || name.Index < 0 || name.Index >= len(j.tasks) {
 		return nil, nil
 	}
--- a/internal/job/owner/bench_test.go
+++ b/internal/job/owner/bench_test.go
@@ -96,3 +96,24 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkMove is the loss of half of the partitions with their handovers, while the
+// lock of the entry is held.
+func BenchmarkMove(b *testing.B) {
+	for _, identities := range []int{1_000, 30_000} {
+		b.Run(fmt.Sprintf("identities=%d", identities), func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				o := benchOwner(11)
+				for i := range identities {
+					answerStarts(o, o.Submit(scripter.Epoch, Request{Entry: "e"}, benchJob(i, 4)))
+				}
+				b.StartTimer()
+				for p := range identifier.Partition(32) {
+					o.Hand(p)
+					o.Lose(p)
+				}
+			}
+		})
+	}
+}
--- a/internal/job/owner/dispatch.go
+++ b/internal/job/owner/dispatch.go
@@ -16,7 +16,7 @@
 	begun := len(o.effects)
 	for o.queue.Len() > 0 && o.pool.Free() > 0 {
 		it, _ := o.queue.Pop()
-		j, ok := o.book.Find(it.Task.Submission)
+		j, ok := o.find(it.Task.Submission)
 		if !ok || j.ended || j.tasks[it.Task.Index].state != waiting {
 			continue
 		}
--- a/internal/job/owner/handover.go
+++ b/internal/job/owner/handover.go
@@ -57,7 +57,7 @@
 	if h == nil || !h.serving {
 		return nil
 	}
-	records := o.handRecords(p, h)
+	records := h.handRecords()
 	var messages []*Handover
 	for chunk := range slices.Chunk(records, handoverSize) {
 		messages = append(messages, &Handover{Partition: p, Epoch: h.epoch, Cutoff: h.cutoff, Records: chunk})
@@ -65,7 +65,8 @@
 	return append(messages, &Handover{Partition: p, Epoch: h.epoch, Cutoff: h.cutoff, Last: true})
 }
 
-func (o *Owner) handRecords(p identifier.Partition, h *holding) []Handed {
+// handRecords returns the records of a partition, in the order of the submissions.
+func (h *holding) handRecords() []Handed {
 	handed := make(map[identifier.Submission]Handed)
 	for name, e := range h.evidence {
 		if e.free {
@@ -76,11 +77,7 @@
 		r.Tasks = append(r.Tasks, HandedTask{Index: name.Index, Agent: e.agent, Incarnation: e.incarnation, Epoch: e.epoch, Attempt: e.attempt, Result: e.result})
 		handed[name.Submission] = r
 	}
-	o.book.Each(func(s identifier.Submission, j *job) {
-		if s.Partition(o.settings.Partitions) == p {
-			handed[s] = j.hand()
-		}
-	})
+	h.book.Each(func(s identifier.Submission, j *job) { handed[s] = j.hand() })
 	records := make([]Handed, 0, len(handed))
 	for _, s := range slices.SortedFunc(maps.Keys(handed), identifier.Submission.Compare) {
 		records = append(records, handed[s])
--- a/internal/job/owner/holding.go
+++ b/internal/job/owner/holding.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/job/admitter"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
 )
@@ -14,6 +15,8 @@
 type holding struct {
 	epoch   identifier.Epoch
 	serving bool
+	// book holds the identities that were admitted in this epoch.
+	book admitter.Book[*job]
 	// cutoff is zero when every agent has reported. Else the starts of
 	// submissions created up to cutoff may have left no record.
 	cutoff   time.Time
@@ -46,6 +49,7 @@
 func (o *Owner) Claim(c starter.Claim) {
 	o.holdings[c.Partition] = &holding{
 		epoch:    c.Epoch,
+		book:     admitter.Book[*job]{Retention: o.settings.Retention, ClockBound: o.settings.ClockBound},
 		evidence: make(map[identifier.Task]evidence),
 		digests:  make(map[identifier.Submission]uint64),
 	}
@@ -113,11 +117,7 @@
 		o.tell(waiting.from, Reply{Moved: true})
 	}
 	var lost []*job
-	o.book.Each(func(s identifier.Submission, j *job) {
-		if s.Partition(o.settings.Partitions) == p {
-			lost = append(lost, j)
-		}
-	})
+	h.book.Each(func(_ identifier.Submission, j *job) { lost = append(lost, j) })
 	slices.SortFunc(lost, func(a, b *job) int { return a.Submission.Compare(b.Submission) })
 	for _, j := range lost {
 		o.forget(j)
@@ -125,8 +125,8 @@
 	return o.flush()
 }
 
+// forget tells whoever waits for a job to ask elsewhere.
 func (o *Owner) forget(j *job) {
-	o.book.Remove(j.Submission)
 	if j.ended {
 		return
 	}
@@ -158,9 +158,20 @@
 	return !h.cutoff.IsZero() && !created.After(h.cutoff)
 }
 
-// expire drops the evidence once every submission of an earlier owner is too old
-// to be admitted.
+// find returns the job of a submission, if this entry owns its partition and has
+// admitted it.
+func (o *Owner) find(s identifier.Submission) (*job, bool) {
+	h := o.holdings[s.Partition(o.settings.Partitions)]
+	if h == nil {
+		return nil, false
+	}
+	return h.book.Find(s)
+}
+
+// expire forgets the identities that are too old to be admitted, and the evidence
+// once that holds for every submission of an earlier owner.
 func (h *holding) expire(now time.Time) {
+	h.book.Expire(now)
 	if !h.serving || len(h.evidence) == 0 || now.Before(h.expiry) {
 		return
 	}
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
-	"github.com/dandeliongrade/dandeliongrade/internal/job/admitter"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/dispatcher"
 )
@@ -37,7 +36,6 @@
 	tenure   time.Time
 	word     time.Time
 	holdings map[identifier.Partition]*holding
-	book     admitter.Book[*job]
 	queue    dispatcher.Queue
 	pool     dispatcher.Pool
 	runs     dispatcher.Estimator
@@ -66,8 +64,6 @@
 		sent:     make(map[identifier.Agent]map[identifier.Task]bool),
 		bequests: make(map[bequeather]*bequest),
 	}
-	o.book.Retention = settings.Retention
-	o.book.ClockBound = settings.ClockBound
 	return o
 }
 
@@ -105,7 +101,6 @@
 		}
 		o.giveUp(now, j, describer.MayHaveRun, "the deadline passed")
 	}
-	o.book.Expire(now)
 	o.expireBequests(now)
 	for _, h := range o.holdings {
 		h.expire(now)
@@ -121,7 +116,11 @@
 
 // Held returns the number of identities that are remembered.
 func (o *Owner) Held() int {
-	return o.book.Len()
+	n := 0
+	for _, h := range o.holdings {
+		n += h.book.Len()
+	}
+	return n
 }
 
 // Slots returns the number of slots that the entry holds, idle and used.
