--- a/cmd/dandeliongrade/process_test.go
+++ b/cmd/dandeliongrade/process_test.go
@@ -336,7 +336,7 @@
 	answer := c.submit(1, mint(t), jobOf(60, 300*time.Millisecond))
 	c.awaitStarts(20)
 	c.signal("agent-2", syscall.SIGSTOP)
-	time.Sleep(4 * time.Second) // beyond the tenure of 3 s
+	time.Sleep(4 * time.Second) // beyond the lease of 3 s
 	c.signal("agent-2", syscall.SIGCONT)
 	assertComplete(c, <-answer, 60)
 	c.assertOnce()
--- a/internal/agent/runner/leave.go
+++ b/internal/agent/runner/leave.go
@@ -50,9 +50,9 @@
 		r.log.Error("life_cycle", logger.Error(err))
 	}
 	r.mu.Lock()
-	bequest := r.starter.Bequeath()
+	finalReport := r.starter.FinalReports()
 	for _, entry := range r.offerer.Linked() {
-		for _, m := range bequest {
+		for _, m := range finalReport {
 			r.send(entry, m)
 		}
 		r.send(entry, &announcer.Bye{})
--- a/internal/agent/runner/session.go
+++ b/internal/agent/runner/session.go
@@ -29,7 +29,7 @@
 		r.log.Warn("wrong_entry", zap.String("entry", string(p.Entry)), zap.String("answered", string(welcome.Entry)))
 		return false
 	}
-	link.Beat = func() any { return r.askTenure(p.Entry) }
+	link.Beat = func() any { return r.askLease(p.Entry) }
 	r.link(p.Entry, link)
 	err = link.Run(ctx, func(message any) error { return r.handle(p.Entry, message) })
 	r.unlink(p.Entry)
@@ -42,7 +42,7 @@
 	defer r.mu.Unlock()
 	r.log.Info("linked", zap.String("entry", string(entry)))
 	r.links[entry] = link
-	r.send(entry, r.askTenureLocked(entry))
+	r.send(entry, r.askLeaseLocked(entry))
 	r.sendChanges(r.offerer.Link(entry))
 	if r.life.Stage() != drainer.Serving {
 		r.send(entry, &offerer.Leave{Incarnation: r.starter.Incarnation})
@@ -67,16 +67,16 @@
 	}
 }
 
-func (r *Runner) askTenure(entry identifier.Entry) any {
+func (r *Runner) askLease(entry identifier.Entry) any {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.askTenureLocked(entry)
+	return r.askLeaseLocked(entry)
 }
 
-func (r *Runner) askTenureLocked(entry identifier.Entry) any {
+func (r *Runner) askLeaseLocked(entry identifier.Entry) any {
 	r.sequence++
-	r.starter.AskTenure(r.clock(), entry, r.sequence)
-	return &starter.AskTenure{Sequence: r.sequence, Linked: r.offerer.Linked()}
+	r.starter.AskLease(r.clock(), entry, r.sequence)
+	return &starter.AskLease{Sequence: r.sequence, Linked: r.offerer.Linked()}
 }
 
 // handle takes one message of an entry.
@@ -87,8 +87,8 @@
 	r.counters.received.Inc()
 	switch m := message.(type) {
 	case *announcer.Heartbeat:
-	case *starter.Tenure:
-		r.starter.Tenure(from, m)
+	case *starter.Lease:
+		r.starter.Lease(from, m)
 	case *starter.Start:
 		r.start(from, m)
 	case *starter.Revoke:
@@ -117,7 +117,7 @@
 }
 
 // start reads the clock after the lock is held: the wait for the lock must not
-// let a start pass whose tenure ends in the meantime.
+// let a start pass whose lease ends in the meantime.
 func (r *Runner) start(from identifier.Entry, m *starter.Start) {
 	slot := r.offerer.Use(from, m.Waiting)
 	reason := r.starter.Start(r.clock(), from, m, slot)
--- a/internal/bench/experimenter/plan.go
+++ b/internal/bench/experimenter/plan.go
@@ -34,9 +34,9 @@
 	// Stragglers is the share of urgent tasks that run StragglerFactor times as long.
 	Stragglers      float64
 	StragglerFactor float64
-	// From CrestAfter on, for CrestFor, the rate is Crest times as high.
-	Crest                float64
-	CrestAfter, CrestFor time.Duration
+	// From PeakAfter on, for PeakFor, the rate is Peak times as high.
+	Peak               float64
+	PeakAfter, PeakFor time.Duration
 	// Deadline is how long the callers wait.
 	Deadline time.Duration
 	Seed     int
@@ -61,7 +61,7 @@
 		LongRun:         3 * time.Second,
 		Stragglers:      0.01,
 		StragglerFactor: 10,
-		Crest:           1,
+		Peak:            1,
 		Deadline:        10 * time.Second,
 		Seed:            1,
 	}
@@ -95,9 +95,9 @@
 		checker.Duration("long_run", &p.LongRun, time.Millisecond, 10*time.Minute, "the run of a long task"),
 		checker.Number("stragglers", &p.Stragglers, 0, 1, "the share of urgent tasks that run longer"),
 		checker.Number("straggler_factor", &p.StragglerFactor, 1, 1000, "how many times as long a straggler runs"),
-		checker.Number("crest", &p.Crest, 0.1, 100, "how many times the rate at the crest"),
-		checker.Duration("crest_after", &p.CrestAfter, 0, time.Hour, "when the crest begins"),
-		checker.Duration("crest_for", &p.CrestFor, 0, time.Hour, "how long the crest lasts"),
+		checker.Number("peak", &p.Peak, 0.1, 100, "how many times the rate at the peak"),
+		checker.Duration("peak_after", &p.PeakAfter, 0, time.Hour, "when the peak begins"),
+		checker.Duration("peak_for", &p.PeakFor, 0, time.Hour, "how long the peak lasts"),
 		checker.Duration("deadline", &p.Deadline, time.Millisecond, 10*time.Minute, "how long callers wait"),
 		checker.Integer("seed", &p.Seed, 0, 1<<31, "the seed of the runs and times"),
 	}
@@ -118,7 +118,7 @@
 	// at is when the job is sent, from the beginning.
 	at     time.Duration
 	urgent bool
-	crest  bool
+	peak   bool
 	runs   []time.Duration
 	body   []string
 }
@@ -138,18 +138,18 @@
 	var all []arrival
 	for at := time.Duration(0); at < p.Duration; {
 		rate := p.Rate / float64(p.Tasks)
-		crest := p.Crest != 1 && at >= p.CrestAfter && at < p.CrestAfter+p.CrestFor
-		if crest {
-			rate *= p.Crest
+		peak := p.Peak != 1 && at >= p.PeakAfter && at < p.PeakAfter+p.PeakFor
+		if peak {
+			rate *= p.Peak
 		}
 		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
-		all = append(all, p.draw(random, at, crest))
+		all = append(all, p.draw(random, at, peak))
 	}
 	return all
 }
 
-func (p *Plan) draw(random *rand.Rand, at time.Duration, crest bool) arrival {
-	a := arrival{at: at, crest: crest, urgent: random.Float64() >= p.LongShare}
+func (p *Plan) draw(random *rand.Rand, at time.Duration, peak bool) arrival {
+	a := arrival{at: at, peak: peak, urgent: random.Float64() >= p.LongShare}
 	for range p.Tasks {
 		run := p.LongRun
 		if a.urgent {
--- a/internal/bench/experimenter/report.go
+++ b/internal/bench/experimenter/report.go
@@ -17,10 +17,10 @@
 
 // Report is what a load measured.
 type Report struct {
-	// Urgent are the urgent jobs outside a crest, Crest those in it, and Long the
+	// Urgent are the urgent jobs outside a peak, Peak those in it, and Long the
 	// jobs that are not urgent.
 	Urgent Class `json:"urgent"`
-	Crest  Class `json:"crest"`
+	Peak   Class `json:"peak"`
 	Long   Class `json:"long"`
 	// Starts is how many tasks were started.
 	Starts float64 `json:"starts"`
@@ -54,7 +54,7 @@
 
 func newReport(p *Plan) *Report {
 	r := &Report{plan: p}
-	for _, c := range []*Class{&r.Urgent, &r.Crest, &r.Long} {
+	for _, c := range []*Class{&r.Urgent, &r.Peak, &r.Long} {
 		c.slowdowns = hdrhistogram.New(1, int64(time.Hour/time.Millisecond)*slowdownScale, 3)
 	}
 	return r
@@ -65,8 +65,8 @@
 	switch {
 	case !o.arrival.urgent:
 		c = &r.Long
-	case o.arrival.crest:
-		c = &r.Crest
+	case o.arrival.peak:
+		c = &r.Peak
 	}
 	c.add(o)
 }
@@ -91,7 +91,7 @@
 
 // finish computes the measures from the histograms and from the growth of metrics.
 func (r *Report) finish(growth scraped) {
-	for _, c := range []*Class{&r.Urgent, &r.Crest, &r.Long} {
+	for _, c := range []*Class{&r.Urgent, &r.Peak, &r.Long} {
 		quantile := func(q float64) float64 { return float64(c.slowdowns.ValueAtQuantile(q)) / slowdownScale }
 		c.P50, c.P99, c.P999 = quantile(50), quantile(99), quantile(99.9)
 	}
@@ -114,7 +114,7 @@
 	for _, row := range []struct {
 		name  string
 		class *Class
-	}{{"urgent", &r.Urgent}, {"crest", &r.Crest}, {"long", &r.Long}} {
+	}{{"urgent", &r.Urgent}, {"peak", &r.Peak}, {"long", &r.Long}} {
 		c := row.class
 		fmt.Fprintf(w, "%-8s %7d %9d %8d %7d %8.2f %8.2f %8.2f %8.1fs\n", row.name, c.Jobs, c.Complete, c.Refused, c.Failed, c.P50, c.P99, c.P999, c.Goodput)
 	}
--- a/internal/bench/planner/planner.go
+++ b/internal/bench/planner/planner.go
@@ -35,8 +35,8 @@
 	// The sizes of messages on a link, in bytes, without inputs and results.
 	StartBytes     float64 `json:"start_message_bytes"`
 	EndedBytes     float64 `json:"ended_message_bytes"`
-	AskBytes       float64 `json:"ask_tenure_message_bytes"`
-	TenureBytes    float64 `json:"tenure_message_bytes"`
+	AskBytes       float64 `json:"ask_lease_message_bytes"`
+	LeaseBytes     float64 `json:"lease_message_bytes"`
 	HeartbeatBytes float64 `json:"heartbeat_message_bytes"`
 	// Wasted is how many messages without a start or an end there are for each start.
 	Wasted float64 `json:"wasted_messages_per_start"`
@@ -128,7 +128,7 @@
 	cpu := (starts*s.AgentStartUS + links*s.AgentLinkUS) / 1e6 * 100
 	records := starts * size.Retention.Seconds()
 	perStart := s.StartBytes + s.EndedBytes + s.Wasted*s.HeartbeatBytes*2
-	perLink := beats * (s.AskBytes + s.TenureBytes)
+	perLink := beats * (s.AskBytes + s.LeaseBytes)
 	return []row{
 		{"starts", starts, "a second", 0, "all starts over all workers"},
 		{"links", links, "", 0, "one to each entry of the cell"},
@@ -136,7 +136,7 @@
 		{"records of starts", records, "", 0, "starts over the retention"},
 		{"memory", s.AgentBaseMB + records*s.RecordBytes/1e6, "MB", bounds.MemoryMB, "a bare process and the records"},
 		{"bytes for starts", starts * perStart, "a second", 0, "start and end, without inputs and results"},
-		{"bytes for links", links * perLink, "a second", 0, "tenure questions and answers at each heartbeat"},
+		{"bytes for links", links * perLink, "a second", 0, "lease questions and answers at each heartbeat"},
 		{"bytes", starts*perStart + links*perLink, "a second", bounds.BytesPerS, "both"},
 	}
 }
--- a/internal/bench/prover/fuzz_test.go
+++ b/internal/bench/prover/fuzz_test.go
@@ -33,10 +33,10 @@
 
 // The settings of the fuzzed world.
 const (
-	fuzzTenure = 3 * time.Second
-	fuzzWord   = time.Second
-	fuzzRetain = 10 * time.Minute
-	fuzzBound  = time.Second
+	fuzzLease     = 3 * time.Second
+	fuzzReadLease = time.Second
+	fuzzRetain    = 10 * time.Minute
+	fuzzBound     = time.Second
 )
 
 // packet is a message on its way. It may arrive late, out of order, twice or never,
@@ -87,7 +87,7 @@
 	ruleCaution     rule = "the caution for lost evidence"
 	ruleIncarnation rule = "the incarnation"
 	ruleRecord      rule = "the record before the call"
-	ruleWord        rule = "the end of the word"
+	ruleReadLease   rule = "the end of the read lease"
 )
 
 func (w *fuzzWorld) violate(format string, args ...any) {
@@ -221,14 +221,14 @@
 	}
 }
 
-// askTenure is a question and its answer without a delay between them.
-func (w *fuzzWorld) askTenure(a, o int) {
+// askLease is a question and its answer without a delay between them.
+func (w *fuzzWorld) askLease(a, o int) {
 	if !w.agents[a].linked[o] {
 		return
 	}
 	w.sequence++
-	w.agents[a].s.AskTenure(w.now, ownerName(o), w.sequence)
-	w.agents[a].s.Tenure(ownerName(o), &starter.Tenure{Sequence: w.sequence, Remaining: w.owners[o].Tenure(w.now)})
+	w.agents[a].s.AskLease(w.now, ownerName(o), w.sequence)
+	w.agents[a].s.Lease(ownerName(o), &starter.Lease{Sequence: w.sequence, Remaining: w.owners[o].Lease(w.now)})
 }
 
 // replace kills an agent and starts its next incarnation.
@@ -252,7 +252,7 @@
 	w.perform(o, w.owners[o].Lose(0))
 	w.owners[o].Claim(claim)
 	roster := []announcer.Member{w.agents[0].member, w.agents[1].member}
-	w.takeover[o] = sealer.New(w.now, []starter.Claim{claim}, roster, w.owners[o].Inherited, fuzzTenure, fuzzWord, fuzzRetain+fuzzBound)
+	w.takeover[o] = sealer.New(w.now, []starter.Claim{claim}, roster, w.owners[o].UseFinalReport, fuzzLease, fuzzReadLease, fuzzRetain+fuzzBound)
 	for a := range w.agents {
 		if w.agents[a].linked[o] {
 			w.seal(o, a, w.takeover[o])
@@ -275,15 +275,15 @@
 	w.perform(old, w.owners[old].Lose(0))
 }
 
-// tick lets time pass, and the present owner confirm its tenure or not.
+// tick lets time pass, and the present owner confirm its lease or not.
 func (w *fuzzWorld) tick(pass time.Duration, confirm bool) {
 	w.now = w.now.Add(pass)
 	if confirm {
-		word := w.now.Add(fuzzWord)
-		if w.leftOut == ruleWord {
-			word = w.now.Add(fuzzTenure)
+		readLease := w.now.Add(fuzzReadLease)
+		if w.leftOut == ruleReadLease {
+			readLease = w.now.Add(fuzzLease)
 		}
-		w.perform(w.current, w.owners[w.current].Confirm(w.now, w.now.Add(fuzzTenure), word))
+		w.perform(w.current, w.owners[w.current].Confirm(w.now, w.now.Add(fuzzLease), readLease))
 	}
 	for o := range w.owners {
 		w.finishTakeover(o)
@@ -425,7 +425,7 @@
 	for a := range w.agents {
 		for o := range w.owners {
 			w.link(a, o)
-			w.askTenure(a, o)
+			w.askLease(a, o)
 		}
 	}
 	for range 20 {
@@ -468,7 +468,7 @@
 	case 4:
 		w.unlink(a, o)
 	case 5, 6:
-		w.askTenure(a, o)
+		w.askLease(a, o)
 	case 7:
 		w.call(a)
 	case 8:
@@ -518,7 +518,7 @@
 // TestFuzzBites shows that the histories find what each rule prevents.
 func TestFuzzBites(t *testing.T) {
 	const most = 30_000
-	for _, leftOut := range []rule{ruleSeal, ruleCaution, ruleIncarnation, ruleRecord, ruleWord} {
+	for _, leftOut := range []rule{ruleSeal, ruleCaution, ruleIncarnation, ruleRecord, ruleReadLease} {
 		t.Run(string(leftOut), func(t *testing.T) {
 			t.Parallel()
 			for seed := range most {
--- a/internal/bench/prover/matrix_test.go
+++ b/internal/bench/prover/matrix_test.go
@@ -28,7 +28,7 @@
 	lossy bool
 }
 
-// pause is how long a fault lasts that passes; it is beyond the tenure.
+// pause is how long a fault lasts that passes; it is beyond the lease.
 const pause = 5 * time.Second
 
 // passing makes a fault that ends after pause.
--- a/internal/config/loader/entry.go
+++ b/internal/config/loader/entry.go
@@ -20,8 +20,8 @@
 	Timing               connector.Timing
 	// Partitions is the same at every entry of a cell.
 	Partitions int
-	// Tenure is how long one reading of the table confirms what an entry owns.
-	Tenure time.Duration
+	// Lease is how long one reading of the table confirms what an entry owns.
+	Lease time.Duration
 	// Refresh is the time between two readings of the table.
 	Refresh    time.Duration
 	Retention  time.Duration
@@ -63,7 +63,7 @@
 		Platform:   defaultPlatformAccess(),
 		Timing:     defaultTiming(),
 		Partitions: 64,
-		Tenure:     3 * time.Second,
+		Lease:      3 * time.Second,
 		Refresh:    500 * time.Millisecond,
 		Retention:  15 * time.Minute,
 		ClockBound: 5 * time.Second,
@@ -86,8 +86,8 @@
 		checker.Require(checker.AddrPort("link", &e.Link, "where agents and other entries dial this one")),
 		checker.Require(checker.AddrPort("admin", &e.Admin, "where operators read metrics and health")),
 		checker.Integer("partitions", &e.Partitions, 1, 4096, "the number of partitions, the same at every entry of a cell"),
-		checker.Duration("tenure", &e.Tenure, 500*time.Millisecond, 30*time.Second, "how long a reading of the table confirms what an entry owns"),
-		checker.Duration("refresh", &e.Refresh, 50*time.Millisecond, 10*time.Second, "the time between two readings of the table, less than half of tenure"),
+		checker.Duration("lease", &e.Lease, 500*time.Millisecond, 30*time.Second, "how long a reading of the table confirms what an entry owns"),
+		checker.Duration("refresh", &e.Refresh, 50*time.Millisecond, 10*time.Second, "the time between two readings of the table, less than half of lease"),
 		checker.Duration("retention", &e.Retention, time.Second, 24*time.Hour, "how long an identity is remembered"),
 		checker.Duration("clock_bound", &e.ClockBound, 0, time.Minute, "how far callers' clocks may be wrong"),
 		checker.Integer("max_waiting", &e.MaxWaiting, 1, 10_000_000, "how many tasks may wait for a slot"),
@@ -111,9 +111,9 @@
 func (e *Entry) Relations() []checker.Relation {
 	return append(timingRelations(&e.Timing), checker.Relation{
 		Field:   "refresh",
-		Holds:   func() bool { return 2*e.Refresh < e.Tenure },
-		Problem: "one slow reading of the table would end the tenure",
-		Remedy:  "choose less than half of tenure",
+		Holds:   func() bool { return 2*e.Refresh < e.Lease },
+		Problem: "one slow reading of the table would end the lease",
+		Remedy:  "choose less than half of lease",
 	})
 }
 
--- a/internal/entry/runner/follow.go
+++ b/internal/entry/runner/follow.go
@@ -17,7 +17,7 @@
 )
 
 // driftDivisor bounds how far two machines' clocks may drift apart during a
-// tenure: one part in this many.
+// lease: one part in this many.
 const driftDivisor = 20
 
 // raceRetries bounds how often a lost race for the assignment is run again at
@@ -69,7 +69,7 @@
 	return nil
 }
 
-// read confirms the tenure from one reading of the assignment, and returns the
+// read confirms the lease from one reading of the assignment, and returns the
 // partitions that were claimed and have to be taken over.
 func (r *Runner) read(ctx context.Context) ([]starter.Claim, error) {
 	sent := r.clock()
@@ -93,7 +93,7 @@
 	r.readAt = sent
 	claims, fresh := r.observe(now, a, record.Version)
 	if fresh && r.claimer.Joined() {
-		r.perform(r.owner.Confirm(now, sent.Add(r.settings.Tenure), sent.Add(r.word())))
+		r.perform(r.owner.Confirm(now, sent.Add(r.settings.Lease), sent.Add(r.readLease())))
 	}
 	return claims, nil
 }
@@ -171,8 +171,8 @@
 	})
 }
 
-// word is how long a reading of the assignment lets this entry say that something
+// readLease is how long a reading of the assignment lets this entry say that something
 // was not run. It is short, for a takeover waits for its end.
-func (r *Runner) word() time.Duration {
+func (r *Runner) readLease() time.Duration {
 	return r.settings.Refresh + r.settings.Refresh/2
 }
--- a/internal/entry/runner/links.go
+++ b/internal/entry/runner/links.go
@@ -75,11 +75,11 @@
 	}
 	switch m := message.(type) {
 	case *announcer.Heartbeat:
-	case *starter.AskTenure:
+	case *starter.AskLease:
 		for _, name := range m.Linked {
-			r.claimer.Witnessed(now, name)
+			r.claimer.ReportedAlive(now, name)
 		}
-		r.sendOn(link, &starter.Tenure{Sequence: m.Sequence, Remaining: r.owner.Tenure(r.clock())})
+		r.sendOn(link, &starter.Lease{Sequence: m.Sequence, Remaining: r.owner.Lease(r.clock())})
 	case *starter.Ended:
 		r.perform(r.owner.Ended(now, agent, m))
 	case *starter.NotStarted:
@@ -98,8 +98,8 @@
 	case *offerer.Leave:
 		r.owner.Left(agent)
 		r.sendOn(link, &offerer.Released{})
-	case *starter.Bequest:
-		r.inherit(now, agent, m)
+	case *starter.FinalReport:
+		r.takeFinalReport(now, agent, m)
 	case *announcer.Bye:
 		link.Close()
 	default:
--- a/internal/entry/runner/outage.go
+++ b/internal/entry/runner/outage.go
@@ -15,7 +15,7 @@
 // entries are asked for promises.
 const silentReadings = 2
 
-// extend keeps the tenure up by promises while the table service gives no answer.
+// extend keeps the lease up by promises while the table service gives no answer.
 func (r *Runner) extend(now time.Time) {
 	if !r.claimer.Joined() || now.Sub(r.readAt) < silentReadings*r.settings.Refresh {
 		return
@@ -27,8 +27,8 @@
 			r.sendOn(r.dialled[name], r.promiser.Ask(now, name, r.claimer.Member.Incarnation, r.claimer.Version()))
 		}
 	}
-	if tenure, ok := r.promiser.Tenure(now, others); ok {
-		r.perform(r.owner.Extend(now, tenure))
+	if lease, ok := r.promiser.Lease(now, others); ok {
+		r.perform(r.owner.Extend(now, lease))
 	}
 }
 
--- a/internal/entry/runner/pages.go
+++ b/internal/entry/runner/pages.go
@@ -35,7 +35,7 @@
 	gauge("slots", func() float64 { return float64(r.owner.Slots()) })
 	gauge("partitions", func() float64 { return float64(r.claimer.Owned()) })
 	gauge("agents", func() float64 { return float64(len(r.agents)) })
-	gauge("tenure_seconds", func() float64 { return r.owner.Tenure(r.clock()).Seconds() })
+	gauge("lease_seconds", func() float64 { return r.owner.Lease(r.clock()).Seconds() })
 	count("admitted_total", func(c *owner.Counters) uint64 { return c.Admitted })
 	count("joined_total", func(c *owner.Counters) uint64 { return c.Joined })
 	count("refused_total", func(c *owner.Counters) uint64 { return c.Refused })
@@ -55,8 +55,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.owner.Tenure(r.clock()) == 0 {
-		return errors.New("the tenure is not confirmed; check the table service")
+	if r.owner.Lease(r.clock()) == 0 {
+		return errors.New("the lease is not confirmed; check the table service")
 	}
 	if name, reached := r.reachesOwners(); !reached {
 		return errors.Errorf("the entry %s, which owns partitions, cannot be reached; send callers there, and look at the network between the entries", name)
--- a/internal/entry/runner/runner.go
+++ b/internal/entry/runner/runner.go
@@ -118,7 +118,7 @@
 		woken:    make(chan struct{}, 1),
 		moved:    make(chan struct{}),
 	}
-	r.promiser.Length = settings.Tenure
+	r.promiser.Length = settings.Lease
 	r.claimer.Spares = r.promiser.Spares
 	r.life = drainer.New(func(s drainer.Stage) { log.Info("stage", zap.String("stage", string(s))) })
 	return r
--- a/internal/entry/runner/takeover.go
+++ b/internal/entry/runner/takeover.go
@@ -58,9 +58,9 @@
 	now := r.clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	tenure := r.settings.Tenure + r.settings.Tenure/driftDivisor
-	word := r.word() + r.word()/driftDivisor
-	t := sealer.New(now, r.unsealed, roster, r.owner.Inherited, tenure, word, r.settings.Retention+r.settings.ClockBound)
+	lease := r.settings.Lease + r.settings.Lease/driftDivisor
+	readLease := r.readLease() + r.readLease()/driftDivisor
+	t := sealer.New(now, r.unsealed, roster, r.owner.UseFinalReport, lease, readLease, r.settings.Retention+r.settings.ClockBound)
 	if !r.claimer.Acknowledged() {
 		t.Strict()
 	}
@@ -73,14 +73,14 @@
 	return nil
 }
 
-// inherit keeps the records of an agent that leaves, for the takeovers that are
+// takeFinalReport keeps the records of an agent that leaves, for the takeovers that are
 // under way and those to come.
-func (r *Runner) inherit(now time.Time, agent identifier.Agent, m *starter.Bequest) {
-	if !r.owner.Inherit(now, agent, m) || !r.owner.Inherited(agent, m.Incarnation) {
+func (r *Runner) takeFinalReport(now time.Time, agent identifier.Agent, m *starter.FinalReport) {
+	if !r.owner.TakeFinalReport(now, agent, m) || !r.owner.UseFinalReport(agent, m.Incarnation) {
 		return
 	}
 	for _, t := range r.takeovers {
-		t.Inherited(agent, m.Incarnation)
+		t.FinalReport(agent, m.Incarnation)
 	}
 }
 
--- a/internal/job/admitter/admitter.go
+++ b/internal/job/admitter/admitter.go
@@ -11,21 +11,21 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
 )
 
-// Book holds the identities that the owner of some partitions has admitted. T is
+// Registry holds the identities that the owner of some partitions has admitted. T is
 // what the owner keeps for each. It is not safe for use by several goroutines at
 // once. Retention and ClockBound are set before use.
-type Book[T any] struct {
+type Registry[T any] struct {
 	// Retention is how long an identity is remembered after its creation. An
 	// older identity is refused, since it may have been forgotten.
 	Retention time.Duration
 	// ClockBound is how far the clocks of callers may differ from ours.
 	ClockBound time.Duration
 
-	pages  map[identifier.Submission]*page[T]
-	expiry []expiring
+	records map[identifier.Submission]*record[T]
+	expiry  []expiring
 }
 
-type page[T any] struct {
+type record[T any] struct {
 	digest uint64
 	kept   T
 }
@@ -35,7 +35,7 @@
 	at         time.Time
 }
 
-// Verdict is what a Book says of a submission.
+// Verdict is what a Registry says of a submission.
 type Verdict uint8
 
 // The verdicts on a submission.
@@ -50,9 +50,9 @@
 
 // Admit decides on job. For a new submission, open provides what is kept for it.
 // The refusal is nil unless the verdict is Refused.
-func (b *Book[T]) Admit(now time.Time, job *describer.Job, digest uint64, open func() T) (T, Verdict, *refuser.Refusal) {
+func (b *Registry[T]) Admit(now time.Time, job *describer.Job, digest uint64, open func() T) (T, Verdict, *refuser.Refusal) {
 	var none T
-	if p, ok := b.pages[job.Submission]; ok {
+	if p, ok := b.records[job.Submission]; ok {
 		if p.digest != digest {
 			return none, Refused, Reused(job.Submission)
 		}
@@ -68,13 +68,13 @@
 
 // Remembers reports whether an identity created at that time would still be known
 // if it had been admitted.
-func (b *Book[T]) Remembers(now, created time.Time) bool {
+func (b *Registry[T]) Remembers(now, created time.Time) bool {
 	return now.Before(created.Add(b.Retention))
 }
 
 // Find returns what is kept for a submission.
-func (b *Book[T]) Find(s identifier.Submission) (T, bool) {
-	p, ok := b.pages[s]
+func (b *Registry[T]) Find(s identifier.Submission) (T, bool) {
+	p, ok := b.records[s]
 	if !ok {
 		var none T
 		return none, false
@@ -83,29 +83,29 @@
 }
 
 // Each calls f for each submission that is kept, in no order.
-func (b *Book[T]) Each(f func(identifier.Submission, T)) {
-	for s, p := range b.pages {
+func (b *Registry[T]) Each(f func(identifier.Submission, T)) {
+	for s, p := range b.records {
 		f(s, p.kept)
 	}
 }
 
 // Len returns how many submissions are kept.
-func (b *Book[T]) Len() int {
-	return len(b.pages)
+func (b *Registry[T]) Len() int {
+	return len(b.records)
 }
 
 // Expire forgets the submissions whose retention is over. An expired identity is
 // refused by its age from then on, so forgetting it admits nothing twice.
-func (b *Book[T]) Expire(now time.Time) {
+func (b *Registry[T]) Expire(now time.Time) {
 	n := 0
 	for n < len(b.expiry) && !now.Before(b.expiry[n].at) {
-		delete(b.pages, b.expiry[n].submission)
+		delete(b.records, b.expiry[n].submission)
 		n++
 	}
 	b.expiry = b.expiry[n:]
 }
 
-func (b *Book[T]) checkAge(now time.Time, job *describer.Job) *refuser.Refusal {
+func (b *Registry[T]) checkAge(now time.Time, job *describer.Job) *refuser.Refusal {
 	if !b.Remembers(now, job.Created) {
 		return &refuser.Refusal{
 			Kind:   refuser.IdentityExpired,
@@ -124,12 +124,12 @@
 	return nil
 }
 
-// write keeps a page until no request with its identity can pass checkAge.
-func (b *Book[T]) write(job *describer.Job, digest uint64, kept T) {
-	if b.pages == nil {
-		b.pages = make(map[identifier.Submission]*page[T])
+// write keeps a record until no request with its identity can pass checkAge.
+func (b *Registry[T]) write(job *describer.Job, digest uint64, kept T) {
+	if b.records == nil {
+		b.records = make(map[identifier.Submission]*record[T])
 	}
-	b.pages[job.Submission] = &page[T]{digest: digest, kept: kept}
+	b.records[job.Submission] = &record[T]{digest: digest, kept: kept}
 	b.expiry = append(b.expiry, expiring{job.Submission, job.Created.Add(b.Retention)})
 }
 
--- a/internal/job/owner/admission.go
+++ b/internal/job/owner/admission.go
@@ -32,10 +32,10 @@
 		o.tell(from, Reply{Moved: true})
 		return o.flush()
 	}
-	j, ok := h.book.Find(m.Submission)
+	j, ok := h.registry.Find(m.Submission)
 	if !ok {
 		r := unknownJob(m.Submission)
-		r.NotRun = h.serving && h.book.Remembers(now, m.Created) && !h.knows(m.Submission, m.Created)
+		r.NotRun = h.serving && h.registry.Remembers(now, m.Created) && !h.knows(m.Submission, m.Created)
 		o.refuse(now, from, r)
 		return o.flush()
 	}
@@ -62,7 +62,7 @@
 		return
 	}
 	open := func() *job { return newJob(now, described, digest) }
-	j, verdict, r := h.book.Admit(now, &described, digest, open)
+	j, verdict, r := h.registry.Admit(now, &described, digest, open)
 	switch {
 	case verdict == admitter.Refused:
 		o.refuse(now, from, r)
@@ -117,7 +117,7 @@
 
 // checkLoad refuses a new job that would wait longer than its caller does.
 func (o *Owner) checkLoad(h *holding, j *describer.Job) *refuser.Refusal {
-	if _, known := h.book.Find(j.Submission); known || h.knows(j.Submission, j.Created) {
+	if _, known := h.registry.Find(j.Submission); known || h.knows(j.Submission, j.Created) {
 		return nil
 	}
 	if o.queue.Len()+len(j.Inputs) > o.settings.MaxWaiting {
@@ -136,10 +136,10 @@
 	return nil
 }
 
-// refuse passes on a refusal, with its promise only while the word lasts.
+// refuse passes on a refusal, with its promise only while the read lease lasts.
 func (o *Owner) refuse(now time.Time, to Request, r *refuser.Refusal) {
 	o.Counters.Refused++
-	r.NotRun = r.NotRun && now.Before(o.word)
+	r.NotRun = r.NotRun && now.Before(o.readLease)
 	o.tell(to, Reply{Answer: describer.Answer{Refusal: r}})
 }
 
--- a/internal/job/owner/agents.go
+++ b/internal/job/owner/agents.go
@@ -145,7 +145,7 @@
 	return o.flush()
 }
 
-// NotStarted takes an agent's word that an attempt did not start and never will.
+// NotStarted takes an agent's report that an attempt did not start and never will.
 // The task is queued again; the next tick sends it, so that an agent that refuses
 // everything does not make a loop.
 func (o *Owner) NotStarted(now time.Time, agent identifier.Agent, m *starter.NotStarted) []Effect {
@@ -166,7 +166,7 @@
 	return o.flush()
 }
 
-// Revoked takes an agent's word on a task that was in doubt. Attempts are counted anew
+// Revoked takes an agent's report on a task that was in doubt. Attempts are counted anew
 // in each epoch, and an owner may lose a partition and claim it again while an answer
 // to a question of its earlier epoch is on its way; that one counts for nothing.
 func (o *Owner) Revoked(now time.Time, agent identifier.Agent, m *starter.Revoked) []Effect {
--- a/internal/job/owner/dispatch.go
+++ b/internal/job/owner/dispatch.go
@@ -8,9 +8,9 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
 )
 
-// dispatch sends waiting tasks as long as there are slots and tenure.
+// dispatch sends waiting tasks as long as there are slots and lease.
 func (o *Owner) dispatch(now time.Time) {
-	if !now.Before(o.tenure) {
+	if !now.Before(o.lease) {
 		return
 	}
 	begun := len(o.effects)
--- a/internal/job/owner/handover.go
+++ b/internal/job/owner/handover.go
@@ -77,7 +77,7 @@
 		r.Tasks = append(r.Tasks, HandedTask{Index: name.Index, Agent: e.agent, Incarnation: e.incarnation, Epoch: e.epoch, Attempt: e.attempt, Result: e.result})
 		handed[name.Submission] = r
 	}
-	h.book.Each(func(s identifier.Submission, j *job) { handed[s] = j.hand() })
+	h.registry.Each(func(s identifier.Submission, j *job) { handed[s] = j.hand() })
 	records := make([]Handed, 0, len(handed))
 	for _, s := range slices.SortedFunc(maps.Keys(handed), identifier.Submission.Compare) {
 		records = append(records, handed[s])
--- a/internal/job/owner/holding.go
+++ b/internal/job/owner/holding.go
@@ -15,8 +15,8 @@
 type holding struct {
 	epoch   identifier.Epoch
 	serving bool
-	// book holds the identities that were admitted in this epoch.
-	book admitter.Book[*job]
+	// registry holds the identities that were admitted in this epoch.
+	registry admitter.Registry[*job]
 	// cutoff is zero when every agent has reported. Else the starts of
 	// submissions created up to cutoff may have left no record.
 	cutoff   time.Time
@@ -49,7 +49,7 @@
 func (o *Owner) Claim(c starter.Claim) {
 	o.holdings[c.Partition] = &holding{
 		epoch:    c.Epoch,
-		book:     admitter.Book[*job]{Retention: o.settings.Retention, ClockBound: o.settings.ClockBound},
+		registry: admitter.Registry[*job]{Retention: o.settings.Retention, ClockBound: o.settings.ClockBound},
 		evidence: make(map[identifier.Task]evidence),
 		digests:  make(map[identifier.Submission]uint64),
 	}
@@ -117,7 +117,7 @@
 		o.tell(waiting.from, Reply{Moved: true})
 	}
 	var lost []*job
-	h.book.Each(func(_ identifier.Submission, j *job) { lost = append(lost, j) })
+	h.registry.Each(func(_ identifier.Submission, j *job) { lost = append(lost, j) })
 	slices.SortFunc(lost, func(a, b *job) int { return a.Submission.Compare(b.Submission) })
 	for _, j := range lost {
 		o.forget(j)
@@ -165,13 +165,13 @@
 	if h == nil {
 		return nil, false
 	}
-	return h.book.Find(s)
+	return h.registry.Find(s)
 }
 
 // expire forgets the identities that are too old to be admitted, and the evidence
 // once that holds for every submission of an earlier owner.
 func (h *holding) expire(now time.Time) {
-	h.book.Expire(now)
+	h.registry.Expire(now)
 	if !h.serving || len(h.evidence) == 0 || now.Before(h.expiry) {
 		return
 	}
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -32,17 +32,17 @@
 // Owner is the state of one entry's partitions. It is not safe for use by
 // several goroutines at once.
 type Owner struct {
-	settings Settings
-	tenure   time.Time
-	word     time.Time
-	holdings map[identifier.Partition]*holding
-	queue    dispatcher.Queue
-	pool     dispatcher.Pool
-	runs     dispatcher.Estimator
+	settings  Settings
+	lease     time.Time
+	readLease time.Time
+	holdings  map[identifier.Partition]*holding
+	queue     dispatcher.Queue
+	pool      dispatcher.Pool
+	runs      dispatcher.Estimator
 	// sent holds the tasks that were sent to each agent and have not ended.
-	sent      map[identifier.Agent]map[identifier.Task]bool
-	bequests  map[bequeather]*bequest
-	deadlines deadlines
+	sent         map[identifier.Agent]map[identifier.Task]bool
+	finalReports map[reporter]*finalReport
+	deadlines    deadlines
 	// nextWant is the place of the agent that is told next that work waits.
 	nextWant int
 	effects  []Effect
@@ -59,36 +59,36 @@
 // New returns an owner of no partitions.
 func New(settings Settings) *Owner {
 	o := &Owner{
-		settings: settings,
-		holdings: make(map[identifier.Partition]*holding),
-		sent:     make(map[identifier.Agent]map[identifier.Task]bool),
-		bequests: make(map[bequeather]*bequest),
+		settings:     settings,
+		holdings:     make(map[identifier.Partition]*holding),
+		sent:         make(map[identifier.Agent]map[identifier.Task]bool),
+		finalReports: make(map[reporter]*finalReport),
 	}
 	return o
 }
 
-// Confirm sets the end of the owner's tenure and that of its word. Until the end
-// of its tenure, and not after, it starts work. Until the end of its word it can
+// Confirm sets the end of the owner's lease and that of its read lease. Until the end
+// of its lease, and not after, it starts work. Until the end of its read lease it can
 // say that something was not run: no later owner serves before that.
-func (o *Owner) Confirm(now, tenure, word time.Time) []Effect {
-	o.tenure = tenure
-	o.word = word
+func (o *Owner) Confirm(now, lease, readLease time.Time) []Effect {
+	o.lease = lease
+	o.readLease = readLease
 	o.dispatch(now)
 	return o.flush()
 }
 
-// Extend sets a later end of the tenure, and leaves the end of the word.
-func (o *Owner) Extend(now, tenure time.Time) []Effect {
-	if tenure.After(o.tenure) {
-		o.tenure = tenure
+// Extend sets a later end of the lease, and leaves that of the read lease.
+func (o *Owner) Extend(now, lease time.Time) []Effect {
+	if lease.After(o.lease) {
+		o.lease = lease
 	}
 	o.dispatch(now)
 	return o.flush()
 }
 
-// Tenure returns how long the tenure still lasts, at least zero.
-func (o *Owner) Tenure(now time.Time) time.Duration {
-	return max(o.tenure.Sub(now), 0)
+// Lease returns how long the lease still lasts, at least zero.
+func (o *Owner) Lease(now time.Time) time.Duration {
+	return max(o.lease.Sub(now), 0)
 }
 
 // Tick answers the jobs whose deadlines have passed, forgets what its retention
@@ -101,7 +101,7 @@
 		}
 		o.giveUp(now, j, describer.MayHaveRun, "the deadline passed")
 	}
-	o.expireBequests(now)
+	o.expireFinalReports(now)
 	for _, h := range o.holdings {
 		h.expire(now)
 	}
@@ -118,7 +118,7 @@
 func (o *Owner) Held() int {
 	n := 0
 	for _, h := range o.holdings {
-		n += h.book.Len()
+		n += h.registry.Len()
 	}
 	return n
 }
@@ -187,9 +187,9 @@
 }
 
 // notRun is the result of a task that this owner did not start and never will. A
-// later owner may have, once this one's word is over.
+// later owner may have, once this one's read lease is over.
 func (o *Owner) notRun(now time.Time, why string) describer.Result {
-	if !now.Before(o.word) {
+	if !now.Before(o.readLease) {
 		return describer.Result{Outcome: describer.MayHaveRun, Detail: why + ", and the ownership was not confirmed"}
 	}
 	return describer.Result{Outcome: describer.NotRun, Detail: why}
--- a/internal/job/owner/owner_test.go
+++ b/internal/job/owner/owner_test.go
@@ -35,15 +35,15 @@
 // step knows these lines:
 //
 //	epoch EPOCH: what notstarted and revoked are about, else the last claim
-//	claim EPOCH; serve EPOCH [cutoff]; lose; confirm TENURE [WORD]; tick
+//	claim EPOCH; serve EPOCH [cutoff]; lose; confirm LEASE [READ-LEASE]; tick
 //	hand; take (the last handover)
 //	submit KEY TASKS [normal] [budget=D] [age=D] [text=T] [workspace=W]
 //	cancel KEY; get KEY
 //	link AGENT INCARNATION; unlink AGENT; left AGENT
 //	grant AGENT INCARNATION SLOTS; recall AGENT INCARNATION SLOTS
 //	sealed AGENT INCARNATION TASK OUTCOME
-//	bequest AGENT INCARNATION TASK OUTCOME; bequest AGENT INCARNATION last
-//	inherited AGENT INCARNATION
+//	finalReport AGENT INCARNATION TASK OUTCOME; finalReport AGENT INCARNATION last
+//	hasFinalReport AGENT INCARNATION
 //	ended AGENT INCARNATION TASK OUTCOME
 //	notstarted AGENT INCARNATION TASK ATTEMPT REASON
 //	revoked AGENT INCARNATION TASK ATTEMPT started|tombstoned [OUTCOME]
@@ -76,11 +76,11 @@
 		return show(d.o.Lose(0))
 	case "confirm":
 		until := now.Add(scripter.Duration(t, args[0]))
-		word := until
+		readLease := until
 		if args[1] != "" {
-			word = now.Add(scripter.Duration(t, args[1]))
+			readLease = now.Add(scripter.Duration(t, args[1]))
 		}
-		return show(d.o.Confirm(now, until, word))
+		return show(d.o.Confirm(now, until, readLease))
 	case "tick":
 		return show(d.o.Tick(now))
 	case "submit":
@@ -102,14 +102,14 @@
 		return show(d.o.Sealed(agent, &starter.Sealed{Incarnation: incarnation, Records: []starter.Record{
 			{Task: task, Epoch: 1, Attempt: 1, Digest: digest(t, task), Result: describer.Result{Outcome: outcome(t, args[3])}},
 		}}))
-	case "bequest":
-		m := &starter.Bequest{Incarnation: incarnation, Last: args[2] == "last"}
+	case "finalReport":
+		m := &starter.FinalReport{Incarnation: incarnation, Last: args[2] == "last"}
 		if !m.Last {
 			m.Records = []starter.Record{{Task: task, Epoch: 1, Attempt: 1, Digest: digest(t, task), Result: describer.Result{Outcome: outcome(t, args[3])}}}
 		}
-		return fmt.Sprintf("all of it %t", d.o.Inherit(now, agent, m))
-	case "inherited":
-		return fmt.Sprintf("all of it %t", d.o.Inherited(agent, incarnation))
+		return fmt.Sprintf("all of it %t", d.o.TakeFinalReport(now, agent, m))
+	case "hasFinalReport":
+		return fmt.Sprintf("all of it %t", d.o.UseFinalReport(agent, incarnation))
 	case "ended":
 		return show(d.o.Ended(now, agent, &starter.Ended{Incarnation: incarnation, Task: task, Result: describer.Result{Outcome: outcome(t, args[3])}, Granted: 1}))
 	case "notstarted":
--- a/internal/job/starter/bench_test.go
+++ b/internal/job/starter/bench_test.go
@@ -13,8 +13,8 @@
 
 func benchStarter() *Starter {
 	s := &Starter{Incarnation: 1, Retention: time.Hour}
-	s.AskTenure(scripter.Epoch, "e1", 1)
-	s.Tenure("e1", &Tenure{Sequence: 1, Remaining: time.Hour})
+	s.AskLease(scripter.Epoch, "e1", 1)
+	s.Lease("e1", &Lease{Sequence: 1, Remaining: time.Hour})
 	return s
 }
 
--- a/internal/job/starter/messages.go
+++ b/internal/job/starter/messages.go
@@ -51,8 +51,8 @@
 	OtherIncarnation
 	// Fenced means that a newer epoch of the partition is known.
 	Fenced
-	// TenureOver means that the owner's tenure has not been confirmed in time.
-	TenureOver
+	// LeaseOver means that the owner's lease has not been confirmed in time.
+	LeaseOver
 	// Tombstoned means that this attempt was revoked or refused before.
 	Tombstoned
 	// Repeated means that the task was already started here.
@@ -68,7 +68,7 @@
 // String returns the name of r in snake case.
 func (r Reason) String() string {
 	names := [...]string{
-		"accepted", "other_incarnation", "fenced", "tenure_over", "tombstoned",
+		"accepted", "other_incarnation", "fenced", "lease_over", "tombstoned",
 		"repeated", "no_slot", "draining", "unreachable",
 	}
 	if int(r) < len(names) {
@@ -154,10 +154,10 @@
 	Result  describer.Result
 }
 
-// Bequest passes the records of an agent that leaves to every entry, so that one
+// FinalReport passes the records of an agent that leaves to every entry, so that one
 // which takes over a partition later does without the agent. The agent starts
 // nothing more when it sends the first of them.
-type Bequest struct {
+type FinalReport struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Incarnation identifier.Incarnation
@@ -165,18 +165,18 @@
 	Last        bool
 }
 
-// AskTenure asks an entry how long its tenure still lasts, and tells which entries
+// AskLease asks an entry how long its lease still lasts, and tells which entries
 // the agent is linked to: an entry that hears nothing of another learns from the
 // agents that it lives.
-type AskTenure struct {
+type AskLease struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Sequence uint64
 	Linked   []identifier.Entry
 }
 
-// Tenure answers AskTenure.
-type Tenure struct {
+// Lease answers AskLease.
+type Lease struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Sequence  uint64
--- a/internal/job/starter/model_test.go
+++ b/internal/job/starter/model_test.go
@@ -19,7 +19,7 @@
 // between its record and its call, and may be replaced by a new incarnation.
 //
 // The property: the task is started at most once.
-const tenureStep = 1 // how many steps of time a tenure lasts
+const leaseStep = 1 // how many steps of time a lease lasts
 
 // mutation leaves out one rule.
 type mutation string
@@ -28,8 +28,8 @@
 const (
 	none                 mutation = ""
 	epochUnchecked       mutation = "the epoch is not checked"
-	tenureUnchecked      mutation = "the tenure is not checked at the agent"
-	ownerTenureUnchecked mutation = "the owner counts its tenure from the receipt of its reading"
+	leaseUnchecked       mutation = "the lease is not checked at the agent"
+	ownerLeaseUnchecked  mutation = "the owner counts its lease from the receipt of its reading"
 	sealSkipped          mutation = "the new owner serves without a seal"
 	cautionSkipped       mutation = "the new owner starts what a lost agent may have started"
 	recordedAfterCall    mutation = "the start is recorded after the call"
@@ -63,7 +63,7 @@
 type modelAgent struct {
 	s           *Starter
 	incarnation int8
-	// askedAt is when the agent asked for the tenure without an answer yet, -1 for
+	// askedAt is when the agent asked for the lease without an answer yet, -1 for
 	// no open question.
 	askedAt int8
 	calling bool
@@ -84,7 +84,7 @@
 	bounds
 
 	now       int8
-	tenure    int8
+	lease     int8
 	owners    [2]modelOwner
 	claimedAt int8
 	sealed    [2]bool
@@ -138,14 +138,14 @@
 
 func newModelAgent(incarnation int8) modelAgent {
 	s := &Starter{Incarnation: identifier.Incarnation(incarnation), Retention: time.Hour}
-	// The second owner is never paused in this model; its tenure always holds.
-	s.AskTenure(scripter.Epoch, "e2", 1)
-	s.Tenure("e2", &Tenure{Sequence: 1, Remaining: time.Hour})
+	// The second owner is never paused in this model; its lease always holds.
+	s.AskLease(scripter.Epoch, "e2", 1)
+	s.Lease("e2", &Lease{Sequence: 1, Remaining: time.Hour})
 	return modelAgent{s: s, incarnation: incarnation, askedAt: -1}
 }
 
 func newModelState() *modelState {
-	m := &modelState{tenure: tenureStep, claimedAt: -1}
+	m := &modelState{lease: leaseStep, claimedAt: -1}
 	m.owners = [2]modelOwner{{epoch: 1, at: -1}, {epoch: 2, at: -1}}
 	for i := range m.agents {
 		m.agents[i] = newModelAgent(1)
@@ -166,11 +166,11 @@
 func (s *Starter) clone() *Starter {
 	c := &Starter{Incarnation: s.Incarnation, Retention: s.Retention, running: s.running}
 	c.fences = map[identifier.Partition]fence{0: s.fences[0]}
-	c.tenures = make(map[identifier.Entry]time.Time)
+	c.leases = make(map[identifier.Entry]time.Time)
 	c.asked = make(map[identifier.Entry]ask)
 	for _, e := range modelEntries {
-		if t, ok := s.tenures[e]; ok {
-			c.tenures[e] = t
+		if t, ok := s.leases[e]; ok {
+			c.leases[e] = t
 		}
 		if a, ok := s.asked[e]; ok {
 			c.asked[e] = a
@@ -200,7 +200,7 @@
 
 // key identifies a state.
 func (m *modelState) key() string {
-	// A tenure that is over is as good as none.
+	// A lease that is over is as good as none.
 	until := func(step int8) byte { return byte(max(step, m.now)) }
 	flag := func(b bool) byte {
 		if b {
@@ -209,7 +209,7 @@
 		return 0
 	}
 	b := []byte{
-		byte(m.now), until(m.tenure), byte(m.claimedAt),
+		byte(m.now), until(m.lease), byte(m.claimedAt),
 		flag(m.sealed[0]), flag(m.sealed[1]), byte(m.roster[0]), byte(m.roster[1]), flag(m.found), flag(m.cautious), flag(m.serving), byte(m.starts),
 	}
 	for _, o := range m.owners {
@@ -217,7 +217,7 @@
 	}
 	for _, a := range m.agents {
 		b = append(b, byte(a.incarnation), byte(a.askedAt), flag(a.calling), byte(a.call.epoch), byte(a.call.attempt))
-		b = append(b, byte(a.s.fences[0].epoch), until(modelStep(a.s.tenures["e1"])))
+		b = append(b, byte(a.s.fences[0].epoch), until(modelStep(a.s.leases["e1"])))
 		if r := a.s.records[modelTask]; r != nil {
 			b = append(b, byte(r.epoch), byte(r.attempt), flag(r.started))
 		} else {
@@ -290,13 +290,13 @@
 // all that may arrive now, the one that was sent last allows the most.
 func (m *modelState) takeReading(mu mutation) bool {
 	sent := m.now
-	if m.claimedAt >= 0 && mu != ownerTenureUnchecked {
+	if m.claimedAt >= 0 && mu != ownerLeaseUnchecked {
 		sent = m.claimedAt
 	}
-	if sent+tenureStep <= m.tenure {
+	if sent+leaseStep <= m.lease {
 		return false
 	}
-	m.tenure = sent + tenureStep
+	m.lease = sent + leaseStep
 	return true
 }
 
@@ -337,7 +337,7 @@
 		return true
 	}
 	if !m.sealed[0] || !m.sealed[1] {
-		if m.now < m.claimedAt+tenureStep {
+		if m.now < m.claimedAt+leaseStep {
 			return false
 		}
 		m.cautious = true
@@ -348,11 +348,11 @@
 
 func (m *modelState) ask(a int8) bool {
 	agent := &m.agents[a]
-	if agent.askedAt == m.now || modelStep(agent.s.tenures["e1"]) > m.now {
+	if agent.askedAt == m.now || modelStep(agent.s.leases["e1"]) > m.now {
 		return false
 	}
 	agent.askedAt = m.now
-	agent.s.AskTenure(modelTime(m.now), "e1", 1)
+	agent.s.AskLease(modelTime(m.now), "e1", 1)
 	return true
 }
 
@@ -360,10 +360,10 @@
 // no difference, for it counts from the question.
 func (m *modelState) answerAsk(a int8) bool {
 	agent := &m.agents[a]
-	if agent.askedAt < 0 || m.now >= m.tenure || agent.askedAt+m.tenure-m.now <= m.now {
+	if agent.askedAt < 0 || m.now >= m.lease || agent.askedAt+m.lease-m.now <= m.now {
 		return false
 	}
-	agent.s.Tenure("e1", &Tenure{Sequence: 1, Remaining: time.Duration(m.tenure-m.now) * time.Second})
+	agent.s.Lease("e1", &Lease{Sequence: 1, Remaining: time.Duration(m.lease-m.now) * time.Second})
 	agent.askedAt = -1
 	return true
 }
@@ -373,7 +373,7 @@
 	if o.at >= 0 || o.attempt == m.attempts[owner] {
 		return false
 	}
-	if owner == 0 && m.now >= m.tenure || m.fresh && !m.serving {
+	if owner == 0 && m.now >= m.lease || m.fresh && !m.serving {
 		return false
 	}
 	if owner == 1 && (!m.serving || m.found || (m.cautious && !m.fresh && mu != cautionSkipped)) {
@@ -456,8 +456,8 @@
 	switch mu {
 	case epochUnchecked:
 		agent.s.fences = nil
-	case tenureUnchecked:
-		agent.s.tenures[from] = modelTime(100)
+	case leaseUnchecked:
+		agent.s.leases[from] = modelTime(100)
 	case incarnationUnchecked:
 		start.Incarnation = agent.s.Incarnation
 	}
@@ -514,7 +514,7 @@
 func TestModelBites(t *testing.T) {
 	for mu, b := range map[mutation]bounds{
 		epochUnchecked:       takeover,
-		ownerTenureUnchecked: freshIdentity,
+		ownerLeaseUnchecked:  freshIdentity,
 		sealSkipped:          takeover,
 		cautionSkipped:       takeover,
 		recordedAfterCall:    takeover,
@@ -531,11 +531,11 @@
 	}
 }
 
-// TestModelAgentTenure shows what the check of the tenure at the agent is not needed
+// TestModelAgentLease shows what the check of the lease at the agent is not needed
 // for: the caution of the next owner covers every start that it would refuse. It is
 // kept because it bounds how late a start can happen.
-func TestModelAgentTenure(t *testing.T) {
-	states, twice := search(tenureUnchecked, takeover)
+func TestModelAgentLease(t *testing.T) {
+	states, twice := search(leaseUnchecked, takeover)
 	t.Logf("%d states", states)
 	assert.Assert(t, !twice)
 }
--- a/internal/job/starter/starter.go
+++ b/internal/job/starter/starter.go
@@ -21,7 +21,7 @@
 
 	draining bool
 	fences   map[identifier.Partition]fence
-	tenures  map[identifier.Entry]time.Time
+	leases   map[identifier.Entry]time.Time
 	asked    map[identifier.Entry]ask
 	records  map[identifier.Task]*record
 	// expiry holds the records in the order of their making.
@@ -61,7 +61,7 @@
 // backend server, once.
 //
 // A refused attempt leaves a tombstone: the owner will send the task elsewhere,
-// so a repeated copy of m must not start it here when, say, the tenure has been
+// so a repeated copy of m must not start it here when, say, the lease has been
 // confirmed in the meantime.
 func (s *Starter) Start(now time.Time, from identifier.Entry, m *Start, slot bool) Reason {
 	if m.Incarnation != s.Incarnation {
@@ -83,8 +83,8 @@
 	if s.draining {
 		return Draining
 	}
-	if !now.Before(s.tenures[from]) {
-		return TenureOver
+	if !now.Before(s.leases[from]) {
+		return LeaseOver
 	}
 	if !slot {
 		return NoSlot
@@ -201,34 +201,34 @@
 	s.raise(c.Partition, c.Epoch, owner)
 }
 
-// AskTenure notes that the question with this sequence is being sent.
-func (s *Starter) AskTenure(now time.Time, to identifier.Entry, sequence uint64) {
+// AskLease notes that the question with this sequence is being sent.
+func (s *Starter) AskLease(now time.Time, to identifier.Entry, sequence uint64) {
 	if s.asked == nil {
 		s.asked = make(map[identifier.Entry]ask)
 	}
 	s.asked[to] = ask{sequence, now}
 }
 
-// Tenure takes an entry's answer. The tenure is counted from the sending of the
+// Lease takes an entry's answer. The lease is counted from the sending of the
 // question: a pause on either side, or on the way, can only shorten it.
-func (s *Starter) Tenure(from identifier.Entry, m *Tenure) {
+func (s *Starter) Lease(from identifier.Entry, m *Lease) {
 	a, ok := s.asked[from]
 	if !ok || a.sequence != m.Sequence {
 		return
 	}
-	if s.tenures == nil {
-		s.tenures = make(map[identifier.Entry]time.Time)
+	if s.leases == nil {
+		s.leases = make(map[identifier.Entry]time.Time)
 	}
 	until := a.sent.Add(m.Remaining)
-	if until.After(s.tenures[from]) {
-		s.tenures[from] = until
+	if until.After(s.leases[from]) {
+		s.leases[from] = until
 	}
 }
 
-// Unlink forgets the tenure of an entry whose link has ended: the process that is
+// Unlink forgets the lease of an entry whose link has ended: the process that is
 // linked next under its name may be another.
 func (s *Starter) Unlink(entry identifier.Entry) {
-	delete(s.tenures, entry)
+	delete(s.leases, entry)
 	delete(s.asked, entry)
 }
 
@@ -237,23 +237,23 @@
 	s.draining = true
 }
 
-// bequestSize is how many records go into one message.
-const bequestSize = 1000
+// finalReportSize is how many records go into one message.
+const finalReportSize = 1000
 
-// Bequeath returns everything that was started, for an agent that drains and runs
+// FinalReports returns everything that was started, for an agent that drains and runs
 // nothing more.
-func (s *Starter) Bequeath() []*Bequest {
+func (s *Starter) FinalReports() []*FinalReport {
 	var records []Record
 	for task, r := range s.records {
 		if r.started {
 			records = append(records, r.report(task))
 		}
 	}
-	var messages []*Bequest
-	for chunk := range slices.Chunk(records, bequestSize) {
-		messages = append(messages, &Bequest{Incarnation: s.Incarnation, Records: chunk})
+	var messages []*FinalReport
+	for chunk := range slices.Chunk(records, finalReportSize) {
+		messages = append(messages, &FinalReport{Incarnation: s.Incarnation, Records: chunk})
 	}
-	return append(messages, &Bequest{Incarnation: s.Incarnation, Last: true})
+	return append(messages, &FinalReport{Incarnation: s.Incarnation, Last: true})
 }
 
 func (r *record) report(task identifier.Task) Record {
--- a/internal/job/starter/starter_test.go
+++ b/internal/job/starter/starter_test.go
@@ -23,7 +23,7 @@
 
 // step knows these lines:
 //
-//	tenure ENTRY DURATION            an answer to a question sent now
+//	lease ENTRY DURATION            an answer to a question sent now
 //	ask ENTRY SEQUENCE; told ENTRY SEQUENCE DURATION
 //	start ENTRY TASK epoch attempt [incarnation=N] [noslot]
 //	end TASK; undo TASK; revoke ENTRY TASK epoch attempt
@@ -31,15 +31,15 @@
 func step(t *testing.T, s *Starter, now time.Time, words []string) string {
 	entry := func() identifier.Entry { return identifier.Entry(words[1]) }
 	switch words[0] {
-	case "tenure":
-		s.AskTenure(now, entry(), 1)
-		s.Tenure(entry(), &Tenure{Sequence: 1, Remaining: scripter.Duration(t, words[2])})
+	case "lease":
+		s.AskLease(now, entry(), 1)
+		s.Lease(entry(), &Lease{Sequence: 1, Remaining: scripter.Duration(t, words[2])})
 		return ""
 	case "ask":
-		s.AskTenure(now, entry(), number(t, words[2]))
+		s.AskLease(now, entry(), number(t, words[2]))
 		return ""
 	case "told":
-		s.Tenure(entry(), &Tenure{Sequence: number(t, words[2]), Remaining: scripter.Duration(t, words[3])})
+		s.Lease(entry(), &Lease{Sequence: number(t, words[2]), Remaining: scripter.Duration(t, words[3])})
 		return ""
 	case "start":
 		m := &Start{Incarnation: 7, Task: task(words[2]), Epoch: identifier.Epoch(number(t, words[3])), Attempt: uint32(number(t, words[4])), Digest: 99}
--- a/internal/link/encoder/encoder.go
+++ b/internal/link/encoder/encoder.go
@@ -32,8 +32,8 @@
 	9:  reflect.TypeFor[starter.Revoked](),
 	10: reflect.TypeFor[starter.Seal](),
 	11: reflect.TypeFor[starter.Sealed](),
-	12: reflect.TypeFor[starter.AskTenure](),
-	13: reflect.TypeFor[starter.Tenure](),
+	12: reflect.TypeFor[starter.AskLease](),
+	13: reflect.TypeFor[starter.Lease](),
 	14: reflect.TypeFor[offerer.Grant](),
 	15: reflect.TypeFor[offerer.Recall](),
 	16: reflect.TypeFor[offerer.Return](),
@@ -48,7 +48,7 @@
 	25: reflect.TypeFor[promiser.Promise](),
 	26: reflect.TypeFor[promiser.Seen](),
 	27: reflect.TypeFor[offerer.Released](),
-	28: reflect.TypeFor[starter.Bequest](),
+	28: reflect.TypeFor[starter.FinalReport](),
 }
 
 var codes = func() map[reflect.Type]byte {
--- a/internal/member/claimer/claimer.go
+++ b/internal/member/claimer/claimer.go
@@ -35,7 +35,7 @@
 	seen        map[identifier.Entry]uint64
 	leaving     bool
 	heard       map[identifier.Entry]time.Time
-	witnessed   map[identifier.Entry]time.Time
+	reported    map[identifier.Entry]time.Time
 	// reachesAgents is whether every agent of the roster is linked here.
 	reachesAgents bool
 	owned         map[identifier.Partition]identifier.Epoch
--- a/internal/member/claimer/claimer_test.go
+++ b/internal/member/claimer/claimer_test.go
@@ -34,7 +34,7 @@
 // step knows these lines:
 //
 //	join E: begins, and reads, plans and writes until E is content
-//	begin E; read E; plan E; write E; leave E; hear E OTHER; witness E OTHER;
+//	begin E; read E; plan E; write E; leave E; hear E OTHER; report E OTHER;
 //	reach E all|some;//	seen E OTHER VERSION
 //
 // Plan keeps what the entry wants to write, and write carries it out if the record
@@ -81,8 +81,8 @@
 		return fmt.Sprintf("acknowledged %t", c.Acknowledged())
 	case "reach":
 		c.Reaches(words[2] == "all")
-	case "witness":
-		c.Witnessed(now, identifier.Entry(words[2]))
+	case "report":
+		c.ReportedAlive(now, identifier.Entry(words[2]))
 	case "hear":
 		c.Heard(now, identifier.Entry(words[2]))
 	default:
--- a/internal/member/claimer/liveness.go
+++ b/internal/member/claimer/liveness.go
@@ -14,12 +14,12 @@
 	c.heard[entry] = now
 }
 
-// Witnessed notes that an agent is linked to an entry.
-func (c *Claimer) Witnessed(now time.Time, entry identifier.Entry) {
-	if c.witnessed == nil {
-		c.witnessed = make(map[identifier.Entry]time.Time)
+// ReportedAlive notes that an agent is linked to an entry.
+func (c *Claimer) ReportedAlive(now time.Time, entry identifier.Entry) {
+	if c.reported == nil {
+		c.reported = make(map[identifier.Entry]time.Time)
 	}
-	c.witnessed[entry] = now
+	c.reported[entry] = now
 }
 
 // Seen notes how far another entry has read the assignment.
@@ -31,7 +31,7 @@
 }
 
 // Acknowledged reports whether every other entry has read that this one joined. An
-// owner that has not would not ask this entry for a promise, so its tenure may go on
+// owner that has not would not ask this entry for a promise, so its lease may go on
 // although this entry has promised nothing: a silent agent proves nothing then.
 func (c *Claimer) Acknowledged() bool {
 	for name := range c.assignment.Entries {
@@ -50,7 +50,7 @@
 // CutOff returns whether an entry is not heard although agents see it.
 func (c *Claimer) CutOff(now time.Time) bool {
 	for _, name := range c.Others() {
-		if !c.hears(now, name) && c.isWitnessed(now, name) {
+		if !c.hears(now, name) && c.isReported(now, name) {
 			return true
 		}
 	}
@@ -66,15 +66,15 @@
 	if name == c.Self || c.hears(now, name) {
 		return true
 	}
-	return c.isWitnessed(now, name) && (name < c.Self || !c.reachesAgents)
+	return c.isReported(now, name) && (name < c.Self || !c.reachesAgents)
 }
 
 func (c *Claimer) hears(now time.Time, name identifier.Entry) bool {
 	return now.Sub(c.heard[name]) < c.Silence
 }
 
-func (c *Claimer) isWitnessed(now time.Time, name identifier.Entry) bool {
-	return now.Sub(c.witnessed[name]) < c.Silence/2
+func (c *Claimer) isReported(now time.Time, name identifier.Entry) bool {
+	return now.Sub(c.reported[name]) < c.Silence/2
 }
 
 // hearsAll reports whether no other entry is cut off from this one.
--- a/internal/member/claimer/plan.go
+++ b/internal/member/claimer/plan.go
@@ -103,7 +103,7 @@
 	}
 	changed := false
 	for _, name := range next.Names() {
-		if !owns[name] && !c.alive(now, name) && !c.isWitnessed(now, name) && !c.spares(now, name) {
+		if !owns[name] && !c.alive(now, name) && !c.isReported(now, name) && !c.spares(now, name) {
 			delete(next.Entries, name)
 			changed = true
 		}
--- a/internal/member/promiser/promiser.go
+++ b/internal/member/promiser/promiser.go
@@ -1,10 +1,10 @@
 // Package promiser keeps owners going while the table service gives them no answer.
-// An owner that cannot confirm its tenure there asks every other entry of the last
+// An owner that cannot confirm its lease there asks every other entry of the last
 // assignment it has read not to claim its partitions for a while. If all of them
 // promise, nobody can take over in that time: whoever could is bound.
 //
 // The promises are unanimous and are stored nowhere. One entry that is dead or does
-// not know the asker's view is enough to end the tenure.
+// not know the asker's view is enough to end the lease.
 package promiser
 
 import (
@@ -75,21 +75,21 @@
 	}
 }
 
-// Tenure returns until when all of the others have promised, and false when one has
+// Lease returns until when all of the others have promised, and false when one has
 // not. An entry without others is bound to nobody but a newcomer, who is bound to
 // seal every agent first.
-func (p *Promiser) Tenure(now time.Time, others []identifier.Entry) (time.Time, bool) {
-	tenure := now.Add(p.Length)
+func (p *Promiser) Lease(now time.Time, others []identifier.Entry) (time.Time, bool) {
+	lease := now.Add(p.Length)
 	for _, other := range others {
 		until, ok := p.got[other]
 		if !ok || !now.Before(until) {
 			return time.Time{}, false
 		}
-		if until.Before(tenure) {
-			tenure = until
+		if until.Before(lease) {
+			lease = until
 		}
 	}
-	return tenure, true
+	return lease, true
 }
 
 // Spares reports whether this entry is bound not to claim another's partitions.
--- a/internal/member/promiser/promiser_test.go
+++ b/internal/member/promiser/promiser_test.go
@@ -18,7 +18,7 @@
 	})
 }
 
-// step knows these lines: ask E, promised E SEQUENCE LENGTH, tenure E..., answer E
+// step knows these lines: ask E, promised E SEQUENCE LENGTH, lease E..., answer E
 // THEIR-VERSION OUR-VERSION, spares E, sending VERSION, read VERSION.
 func step(t *testing.T, p *Promiser, now time.Time, words []string) string {
 	entry := identifier.Entry(words[1])
@@ -32,14 +32,14 @@
 	case "promised":
 		p.Promised(entry, &Promise{Sequence: number(2), Length: scripter.Duration(t, words[3])})
 		return ""
-	case "tenure":
+	case "lease":
 		var others []identifier.Entry
 		for _, w := range strings.Split(words[1], ",") {
 			if w != "none" {
 				others = append(others, identifier.Entry(w))
 			}
 		}
-		until, ok := p.Tenure(now, others)
+		until, ok := p.Lease(now, others)
 		if !ok {
 			return "none"
 		}
--- a/internal/member/sealer/sealer.go
+++ b/internal/member/sealer/sealer.go
@@ -18,41 +18,41 @@
 
 	// handed are the partitions that their earlier owners have handed over.
 	handed map[identifier.Partition]bool
-	// spokenAt is when the earlier owner can no longer say that something was not
+	// readLeaseEnd is when the earlier owner can no longer say that something was not
 	// run.
-	spokenAt time.Time
+	readLeaseEnd time.Time
 	// strict means that silence proves nothing: every agent must seal.
 	strict bool
-	// silentAt is when an agent that has not answered can no longer start work
+	// leaseEnd is when an agent that has not answered can no longer start work
 	// for the earlier owner.
-	silentAt time.Time
+	leaseEnd time.Time
 	missing  map[identifier.Agent]identifier.Incarnation
 	// cautious means that the record of some agent is lost.
 	cautious bool
 }
 
-// Inherited reports whether the records of an incarnation of an agent, which left in
+// UseFinalReport reports whether the records of an incarnation of an agent, which left in
 // good order, are with this entry.
-type Inherited func(identifier.Agent, identifier.Incarnation) bool
+type UseFinalReport func(identifier.Agent, identifier.Incarnation) bool
 
 // New begins a takeover of claims that were observed in the table service at now.
 // The roster must have been read after the claims were written: an agent that
-// registers later reads the claims itself. Tenure and word are the longest that
+// registers later reads the claims itself. Lease and readLease are the longest that
 // the earlier owner can have been confirmed for, with an allowance for clock drift.
-func New(now time.Time, claims []starter.Claim, roster []announcer.Member, inherited Inherited, tenure, word, retention time.Duration) *Takeover {
+func New(now time.Time, claims []starter.Claim, roster []announcer.Member, use UseFinalReport, lease, readLease, retention time.Duration) *Takeover {
 	t := &Takeover{
-		Claims:   claims,
-		spokenAt: now.Add(word),
-		silentAt: now.Add(tenure),
-		missing:  make(map[identifier.Agent]identifier.Incarnation),
-		handed:   make(map[identifier.Partition]bool),
+		Claims:       claims,
+		readLeaseEnd: now.Add(readLease),
+		leaseEnd:     now.Add(lease),
+		missing:      make(map[identifier.Agent]identifier.Incarnation),
+		handed:       make(map[identifier.Partition]bool),
 	}
 	for _, m := range roster {
-		if m.Replaced > 0 && now.Sub(m.Registered) < retention && !inherited(m.Agent, m.Replaced) {
+		if m.Replaced > 0 && now.Sub(m.Registered) < retention && !use(m.Agent, m.Replaced) {
 			t.cautious = true
 		}
 		switch {
-		case inherited(m.Agent, m.Incarnation):
+		case use(m.Agent, m.Incarnation):
 		case m.Left.IsZero():
 			t.missing[m.Agent] = m.Incarnation
 		case now.Sub(m.Left) < retention:
@@ -114,8 +114,8 @@
 	return open
 }
 
-// Inherited notes that an agent has left in good order, with its records here.
-func (t *Takeover) Inherited(agent identifier.Agent, incarnation identifier.Incarnation) {
+// FinalReport notes that an agent has left in good order, with its records here.
+func (t *Takeover) FinalReport(agent identifier.Agent, incarnation identifier.Incarnation) {
 	if t.missing[agent] == incarnation {
 		delete(t.missing, agent)
 	}
@@ -124,13 +124,13 @@
 // Done reports whether the partitions may be served, and whether the record of
 // some agent is lost.
 func (t *Takeover) Done(now time.Time) (done, cautious bool) {
-	if now.Before(t.spokenAt) {
+	if now.Before(t.readLeaseEnd) {
 		return false, false
 	}
 	if len(t.missing) == 0 {
 		return true, t.cautious
 	}
-	if t.strict || now.Before(t.silentAt) {
+	if t.strict || now.Before(t.leaseEnd) {
 		return false, false
 	}
 	return true, true
--- a/internal/member/sealer/sealer_test.go
+++ b/internal/member/sealer/sealer_test.go
@@ -27,14 +27,14 @@
 }
 
 // begin reads a roster of members such as a1:2, a1:2:replaced=10s or a1:2:left=1m,
-// with how long ago that was. A word such as bequest=a1:2 says whose records are
+// with how long ago that was. A word such as finalReport=a1:2 says whose records are
 // here.
 func begin(t *testing.T, now time.Time, words []string) *Takeover {
 	var roster []announcer.Member
-	bequests := make(map[string]bool)
+	finalReports := make(map[string]bool)
 	for _, word := range words {
-		if name, ok := strings.CutPrefix(word, "bequest="); ok {
-			bequests[name] = true
+		if name, ok := strings.CutPrefix(word, "finalReport="); ok {
+			finalReports[name] = true
 			continue
 		}
 		parts := strings.Split(word, ":")
@@ -51,14 +51,14 @@
 		}
 		roster = append(roster, m)
 	}
-	inherited := func(agent identifier.Agent, incarnation identifier.Incarnation) bool {
-		return bequests[fmt.Sprintf("%s:%d", agent, incarnation)]
+	useFinalReport := func(agent identifier.Agent, incarnation identifier.Incarnation) bool {
+		return finalReports[fmt.Sprintf("%s:%d", agent, incarnation)]
 	}
-	return New(now, []starter.Claim{{Partition: 3, Epoch: 5}}, roster, inherited, 3*time.Second, time.Second, time.Minute)
+	return New(now, []starter.Claim{{Partition: 3, Epoch: 5}}, roster, useFinalReport, 3*time.Second, time.Second, time.Minute)
 }
 
 // step knows these lines: linked AGENT INCARNATION, sealed AGENT INCARNATION EPOCH,
-// inherited AGENT INCARNATION, strict, done.
+// hasFinalReport AGENT INCARNATION, strict, done.
 func step(t *testing.T, takeover *Takeover, now time.Time, words []string) string {
 	var agent identifier.Agent
 	var incarnation identifier.Incarnation
@@ -67,8 +67,8 @@
 		agent, incarnation = identifier.Agent(words[1]), identifier.Incarnation(n)
 	}
 	switch words[0] {
-	case "inherited":
-		takeover.Inherited(agent, incarnation)
+	case "hasFinalReport":
+		takeover.FinalReport(agent, incarnation)
 		return ""
 	case "strict":
 		takeover.Strict()
