--- a/internal/config/loader/entry.go
+++ b/internal/config/loader/entry.go
@@ -28,8 +28,10 @@
 	ClockBound time.Duration
 	MaxWaiting int
 	TypicalRun time.Duration
-	Templates  map[string]*Template
-	Workspaces map[string]*Workspace
+	// NormalShare is the share of the slots that work which is not urgent may use.
+	NormalShare float64
+	Templates   map[string]*Template
+	Workspaces  map[string]*Workspace
 }
 
 // Platform says how to reach the platform's services.
@@ -60,17 +62,18 @@
 // DefaultEntry returns the settings of an entry before its file is read.
 func DefaultEntry() *Entry {
 	return &Entry{
-		Platform:   defaultPlatformAccess(),
-		Timing:     defaultTiming(),
-		Partitions: 64,
-		Lease:      3 * time.Second,
-		Refresh:    500 * time.Millisecond,
-		Retention:  15 * time.Minute,
-		ClockBound: 5 * time.Second,
-		MaxWaiting: 100_000,
-		TypicalRun: 250 * time.Millisecond,
-		Templates:  make(map[string]*Template),
-		Workspaces: make(map[string]*Workspace),
+		Platform:    defaultPlatformAccess(),
+		Timing:      defaultTiming(),
+		Partitions:  64,
+		Lease:       3 * time.Second,
+		Refresh:     500 * time.Millisecond,
+		Retention:   15 * time.Minute,
+		ClockBound:  5 * time.Second,
+		MaxWaiting:  100_000,
+		TypicalRun:  250 * time.Millisecond,
+		NormalShare: 0.5,
+		Templates:   make(map[string]*Template),
+		Workspaces:  make(map[string]*Workspace),
 	}
 }
 
@@ -92,6 +95,7 @@
 		checker.Duration("clock_bound", &e.ClockBound, 0, time.Minute, "how far callers' clocks may be wrong"),
 		checker.Integer("max_waiting", &e.MaxWaiting, 1, 10_000_000, "how many tasks may wait for a slot"),
 		checker.Duration("typical_run", &e.TypicalRun, time.Millisecond, time.Minute, "the run of a task of a template that has not run yet"),
+		checker.Number("normal_share", &e.NormalShare, 0, 1, "the share of the slots that work which is not urgent may use"),
 		checker.Map("templates", "the kinds of work", func(name string) checker.Object {
 			t := &Template{Path: "/task", Timeout: 10 * time.Second, Deadline: 30 * time.Second}
 			e.Templates[name] = t
--- a/internal/entry/runner/runner.go
+++ b/internal/entry/runner/runner.go
@@ -98,11 +98,12 @@
 		clock:    clock,
 		edges:    edges,
 		owner: owner.New(owner.Settings{
-			Partitions: settings.Partitions,
-			Retention:  settings.Retention,
-			ClockBound: settings.ClockBound,
-			MaxWaiting: settings.MaxWaiting,
-			TypicalRun: settings.TypicalRun,
+			Partitions:  settings.Partitions,
+			Retention:   settings.Retention,
+			ClockBound:  settings.ClockBound,
+			MaxWaiting:  settings.MaxWaiting,
+			TypicalRun:  settings.TypicalRun,
+			NormalShare: settings.NormalShare,
 		}),
 		claimer: claimer.Claimer{
 			Self:       settings.Name,
--- a/internal/job/dispatcher/queue.go
+++ b/internal/job/dispatcher/queue.go
@@ -34,17 +34,25 @@
 	q.class(it.Urgent).push(it, true)
 }
 
-// Pop removes the item that is next.
-func (q *Queue) Pop() (Item, bool) {
+// Pop removes the item that is next. Without normal, only an urgent one may be.
+func (q *Queue) Pop(normal bool) (Item, bool) {
 	if q.urgent.count > 0 {
 		return q.urgent.pop(), true
 	}
-	if q.normal.count > 0 {
+	if normal && q.normal.count > 0 {
 		return q.normal.pop(), true
 	}
 	return Item{}, false
 }
 
+// Ready returns the number of waiting items that Pop could return in turn.
+func (q *Queue) Ready(normal bool) int {
+	if normal {
+		return q.Len()
+	}
+	return q.urgent.count
+}
+
 // Len returns the number of waiting items.
 func (q *Queue) Len() int {
 	return q.urgent.count + q.normal.count
--- a/internal/job/owner/admission.go
+++ b/internal/job/owner/admission.go
@@ -112,7 +112,7 @@
 		return
 	}
 	j.tasks[i] = task{state: sent, epoch: e.epoch, attempt: e.attempt, agent: e.agent, incarnation: e.incarnation}
-	o.markSent(e.agent, identifier.Task{Submission: j.Submission, Index: i})
+	o.markSent(e.agent, identifier.Task{Submission: j.Submission, Index: i}, j.Urgent)
 }
 
 // checkLoad refuses a new job that would wait longer than its caller does.
@@ -127,6 +127,9 @@
 	if slots == 0 {
 		return nil
 	}
+	if !j.Urgent {
+		slots = o.normalSlots()
+	}
 	run := o.runs.Mean(j.Template, o.settings.TypicalRun)
 	ahead := o.queue.Ahead(j.Submission.Workspace, j.Urgent) + len(j.Inputs) - 1
 	wait := time.Duration(ahead) * run / time.Duration(slots)
--- a/internal/job/owner/agents.go
+++ b/internal/job/owner/agents.go
@@ -206,7 +206,7 @@
 
 func (o *Owner) requeue(j *job, name identifier.Task) {
 	t := &j.tasks[name.Index]
-	o.unmarkSent(t.agent, name)
+	o.unmarkSent(t.agent, name, j.Urgent)
 	t.state = waiting
 	o.queue.PushFront(dispatcher.Item{Task: name, Urgent: j.Urgent, Deadline: j.deadline})
 }
@@ -264,7 +264,7 @@
 	workers := o.pool.Workers()
 	asked := 0
 	for range workers {
-		if asked >= o.queue.Len() {
+		if asked >= o.ready() {
 			return
 		}
 		w := workers[o.nextWant%len(workers)]
@@ -275,18 +275,24 @@
 		w.Told = true
 		asked++
 		o.Counters.Wants++
-		o.send(w.Agent, &offerer.Want{Waiting: o.queue.Len()})
+		o.send(w.Agent, &offerer.Want{Waiting: o.ready()})
 	}
 }
 
-func (o *Owner) markSent(agent identifier.Agent, name identifier.Task) {
+func (o *Owner) markSent(agent identifier.Agent, name identifier.Task, urgent bool) {
+	if !urgent {
+		o.normal++
+	}
 	if o.sent[agent] == nil {
 		o.sent[agent] = make(map[identifier.Task]bool)
 	}
 	o.sent[agent][name] = true
 }
 
-func (o *Owner) unmarkSent(agent identifier.Agent, name identifier.Task) {
+func (o *Owner) unmarkSent(agent identifier.Agent, name identifier.Task, urgent bool) {
+	if !urgent {
+		o.normal--
+	}
 	delete(o.sent[agent], name)
 	if len(o.sent[agent]) == 0 {
 		delete(o.sent, agent)
--- a/internal/job/owner/dispatch.go
+++ b/internal/job/owner/dispatch.go
@@ -14,8 +14,8 @@
 		return
 	}
 	begun := len(o.effects)
-	for o.queue.Len() > 0 && o.pool.Free() > 0 {
-		it, _ := o.queue.Pop()
+	for o.ready() > 0 && o.pool.Free() > 0 {
+		it, _ := o.queue.Pop(o.allowsNormal())
 		j, ok := o.find(it.Task.Submission)
 		if !ok || j.ended || j.tasks[it.Task.Index].state != waiting {
 			continue
@@ -28,11 +28,28 @@
 		o.start(now, j, it.Task, w)
 	}
 	o.tellWaiting(o.effects[begun:])
-	if o.queue.Len() > 0 {
+	if o.ready() > 0 {
 		o.want()
 	}
 }
 
+// ready returns how many waiting tasks may start when there are slots.
+func (o *Owner) ready() int {
+	return o.queue.Ready(o.allowsNormal())
+}
+
+// allowsNormal reports whether another task that is not urgent may start. Such tasks
+// are held to a share of the slots: they may run long, and urgent work that comes
+// meanwhile must find a slot.
+func (o *Owner) allowsNormal() bool {
+	return o.normal < o.normalSlots()
+}
+
+// normalSlots is how many slots tasks that are not urgent may use, at least one.
+func (o *Owner) normalSlots() int {
+	return max(int(o.settings.NormalShare*float64(o.pool.Slots())), 1)
+}
+
 // tellWaiting puts into each start how much work waits once all of them are sent.
 // A count from in between would make agents find slots for work that others have
 // got by then.
@@ -43,7 +60,7 @@
 			continue
 		}
 		if m, ok := s.Message.(*starter.Start); ok {
-			m.Waiting = o.queue.Len()
+			m.Waiting = o.ready()
 			o.pool.Worker(s.Agent).Told = m.Waiting > 0
 		}
 	}
@@ -57,7 +74,7 @@
 	t.epoch = o.holdings[p].epoch
 	t.attempt++
 	t.at = now
-	o.markSent(w.Agent, name)
+	o.markSent(w.Agent, name, j.Urgent)
 	o.Counters.Starts++
 	o.send(w.Agent, &starter.Start{
 		Incarnation: w.Incarnation,
--- a/internal/job/owner/holding.go
+++ b/internal/job/owner/holding.go
@@ -133,7 +133,7 @@
 	o.deadlines.remove(j)
 	for i, t := range j.tasks {
 		if t.state == sent {
-			o.unmarkSent(t.agent, identifier.Task{Submission: j.Submission, Index: i})
+			o.unmarkSent(t.agent, identifier.Task{Submission: j.Submission, Index: i}, j.Urgent)
 		}
 	}
 	for _, to := range j.waiters {
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -27,6 +27,8 @@
 	MaxWaiting int
 	// TypicalRun stands for the run of a task of a template not seen yet.
 	TypicalRun time.Duration
+	// NormalShare is the share of the slots that tasks which are not urgent may use.
+	NormalShare float64
 }
 
 // Owner is the state of one entry's partitions. It is not safe for use by
@@ -43,6 +45,8 @@
 	sent         map[identifier.Agent]map[identifier.Task]bool
 	finalReports map[reporter]*finalReport
 	deadlines    deadlines
+	// normal counts the tasks in sent that are not urgent.
+	normal int
 	// nextWant is the place of the agent that is told next that work waits.
 	nextWant int
 	effects  []Effect
@@ -144,7 +148,7 @@
 		return
 	}
 	if t.state == sent {
-		o.unmarkSent(t.agent, identifier.Task{Submission: j.Submission, Index: i})
+		o.unmarkSent(t.agent, identifier.Task{Submission: j.Submission, Index: i}, j.Urgent)
 	}
 	t.state = ended
 	t.result = r
--- a/internal/job/owner/owner_test.go
+++ b/internal/job/owner/owner_test.go
@@ -18,7 +18,7 @@
 
 func TestOwner(t *testing.T) {
 	scripter.Run(t, "testdata/*.txtar", func() scripter.Step {
-		d := &driver{o: New(Settings{Partitions: 1, Retention: time.Minute, ClockBound: time.Second, MaxWaiting: 20, TypicalRun: 100 * time.Millisecond})}
+		d := &driver{o: New(Settings{Partitions: 1, Retention: time.Minute, ClockBound: time.Second, MaxWaiting: 20, TypicalRun: 100 * time.Millisecond, NormalShare: 0.75})}
 		return d.step
 	})
 }
