--- a/internal/bench/prover/world_test.go
+++ b/internal/bench/prover/world_test.go
@@ -137,8 +137,17 @@
 	ended chan struct{}
 }
 
+// newEmptyWorld has a table service and no process.
+func newEmptyWorld(t *testing.T) *world {
+	return &world{
+		t: t, net: newNetwork(), store: &faker.Store{}, ctx: context.Background(),
+		starts: make(map[identifier.Task]int), run: 50 * time.Millisecond,
+	}
+}
+
+// newWorld has two entries and three agents that have settled.
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, net: newNetwork(), store: &faker.Store{}, ctx: context.Background(), starts: make(map[identifier.Task]int), run: 50 * time.Millisecond}
+	w := newEmptyWorld(t)
 	for i := range 2 {
 		w.entries = append(w.entries, w.startEntry(i))
 	}
