--- a/internal/core/refuser/refuser.go
+++ b/internal/core/refuser/refuser.go
@@ -24,7 +24,6 @@
 	IdentityFromFuture Kind = "identity_from_future"
 	Overloaded         Kind = "overloaded"
 	NoOwner            Kind = "no_owner"
-	Leaving            Kind = "leaving"
 	Uncertain          Kind = "uncertain"
 )
 
