Make the HTTP clients in one place, which repeats nothing

Cause: four clients were made alike, three switched the library's own repetition of requests off by themselves, and the fourth did not. That no layer repeats a request is a promise, and stood in three copies. Change: one package makes every client and says why. Ruled out: a comment at each copy. Conclusion: a fifth client cannot forget it.

--- a/internal/bench/experimenter/scraper.go
+++ b/internal/bench/experimenter/scraper.go
@@ -8,9 +8,9 @@
 	"strconv"
 	"strings"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/pkg/errors"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/front/requester"
 )
 
 // metricsOf are the metrics of one role, summed over its processes.
@@ -33,9 +33,9 @@
 
 func scrapeAll(ctx context.Context, ports []netip.AddrPort) (metricsOf, error) {
 	sum := make(metricsOf)
-	c, err := client.NewClient(client.WithDialer(standard.NewDialer()))
+	c, err := requester.New()
 	if err != nil {
-		return nil, errors.Wrap(err, "make a client of the metrics")
+		return nil, err
 	}
 	for _, port := range ports {
 		status, body, err := c.Get(ctx, nil, "http://"+port.String()+"/metrics")
--- a/internal/front/client/client.go
+++ b/internal/front/client/client.go
@@ -9,10 +9,11 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/pkg/errors"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/front/requester"
 )
 
 // Job is a job to submit.
@@ -72,14 +73,10 @@
 // New returns a client of the entry at addr that gives up a request after
 // timeout.
 func New(addr netip.AddrPort, timeout time.Duration, connections int) (*Client, error) {
-	c, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
-		client.WithMaxConnsPerHost(connections),
-	)
+	c, err := requester.New(client.WithMaxConnsPerHost(connections))
 	if err != nil {
-		return nil, errors.Wrap(err, "make a client of an entry")
+		return nil, err
 	}
-	c.SetRetryIfFunc(func(*protocol.Request, *protocol.Response, error) bool { return false })
 	return &Client{"http://" + addr.String(), timeout, c}, nil
 }
 
--- /dev/null
+++ b/internal/front/requester/requester.go
@@ -0,0 +1,26 @@
+// Package requester makes the HTTP clients of all roles alike: none repeats a request
+// by itself.
+package requester
+
+import (
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+)
+
+// New returns a client that sends each request at most once.
+//
+// The library would repeat some requests when a pooled connection turns out to be
+// closed. The other side may have begun to act by then: started a task, or written to
+// the table. Whoever sends decides on a repetition.
+func New(options ...config.ClientOption) (*client.Client, error) {
+	all := append([]config.ClientOption{client.WithDialer(standard.NewDialer())}, options...)
+	c, err := client.NewClient(all...)
+	if err != nil {
+		return nil, errors.Wrap(err, "make an HTTP client")
+	}
+	c.SetRetryIfFunc(func(*protocol.Request, *protocol.Response, error) bool { return false })
+	return c, nil
+}
--- a/internal/job/caller/caller.go
+++ b/internal/job/caller/caller.go
@@ -17,6 +17,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/pkg/errors"
 
+	"github.com/dandeliongrade/dandeliongrade/internal/front/requester"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/describer"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
 )
@@ -51,17 +52,14 @@
 // New returns a caller of the backend server at addr with at most the given
 // number of connections.
 func New(addr netip.AddrPort, connections int) (*Caller, error) {
-	c, err := client.NewClient(
+	c, err := requester.New(
 		client.WithDialer(dialer{standard.NewDialer()}),
 		client.WithDialTimeout(dialTimeout),
 		client.WithMaxConnsPerHost(connections),
 	)
 	if err != nil {
-		return nil, errors.Wrap(err, "make a client of the backend server")
+		return nil, err
 	}
-	// The library repeats some requests when a pooled connection turns out to be
-	// closed. The server may have begun the task by then.
-	c.SetRetryIfFunc(func(*protocol.Request, *protocol.Response, error) bool { return false })
 	return &Caller{"http://" + addr.String(), c}, nil
 }
 
--- a/internal/platform/keeper/keeper.go
+++ b/internal/platform/keeper/keeper.go
@@ -11,10 +11,11 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/pkg/errors"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/front/requester"
 )
 
 // Record is a row of the table. Its version is one at its creation and rises with
@@ -77,15 +78,10 @@
 // New returns a client of the service at addr, which gives up a request after
 // timeout.
 func New(addr netip.AddrPort, timeout time.Duration) (*Client, error) {
-	c, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
-		client.WithDialTimeout(timeout),
-	)
+	c, err := requester.New(client.WithDialTimeout(timeout))
 	if err != nil {
-		return nil, errors.Wrap(err, "make a client of the table service")
+		return nil, err
 	}
-	// A repeated request could write twice; whoever calls decides on repetition.
-	c.SetRetryIfFunc(func(*protocol.Request, *protocol.Response, error) bool { return false })
 	return &Client{base: "http://" + addr.String(), timeout: timeout, http: c}, nil
 }
 
