Raise the fence of a worker that refuses it

Cause: the first fence of a sidecar is the time of day at its start. A sidecar that starts again while the time of day is set back comes with a fence below that of its earlier start; the worker refuses every call, and the sidecar took that for silence.

Ruled out: a fence kept in the store, which a sidecar that starts in an outage of the store cannot read.

Change: the adapter tells a refusal for the fence from other refusals. While the worker has not obeyed this agent yet, the agent raises its fence by a step that doubles, and asks again at once. A worker that has obeyed and then refuses is in other hands, and the fence stays.

--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -44,8 +44,8 @@
 // Executor decides for one worker. Its exported fields are set before use. It is not
 // safe for use by several goroutines at once.
 type Executor struct {
-	// Fence is the first fencing token; it must be above those of earlier
-	// incarnations of this agent.
+	// Fence is the first fencing token. It should be above those of earlier incarnations of
+	// this agent; a worker that refuses it is asked with a higher one.
 	Fence uint64
 
 	worker   *life
@@ -53,7 +53,9 @@
 	runs     map[Run]*execution
 	used     specifier.Resources
 	sequence uint64
-	leaving  bool
+	// raise is the step by which the fence was raised last for a worker that refused it.
+	raise   uint64
+	leaving bool
 }
 
 // owner is a gateway, in one incarnation of it.
--- a/internal/transient/executor/executor_test.go
+++ b/internal/transient/executor/executor_test.go
@@ -176,7 +176,7 @@
 }
 
 func readReply(t *testing.T, word string) Reply {
-	for r := Accepted; r <= Restarted; r++ {
+	for r := Accepted; r <= Outdated; r++ {
 		if r.String() == word {
 			return r
 		}
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -73,9 +73,12 @@
 	Gone
 	// Restarted means that another life of the worker has answered.
 	Restarted
+	// Outdated means that the order was not carried out, because the worker has seen a
+	// higher fence.
+	Outdated
 )
 
-var replies = [...]string{Accepted: "accepted", Declined: "declined", Silent: "silent", Gone: "gone", Restarted: "restarted"}
+var replies = [...]string{Accepted: "accepted", Declined: "declined", Silent: "silent", Gone: "gone", Restarted: "restarted", Outdated: "outdated"}
 
 // String returns the word for r.
 func (r Reply) String() string {
@@ -136,7 +139,7 @@
 		return nil
 	}
 	switch {
-	case reply == Declined:
+	case reply == Declined, reply == Outdated:
 		return x.finish(now, b.Run, e, Refused, Rejected)
 	case reply == Silent:
 		x.noteSilence(now, b.Life)
@@ -283,9 +286,29 @@
 		return x.gone(now, h.Life, reply == Restarted)
 	}
 	x.noteSilence(now, h.Life)
+	if reply == Outdated {
+		return x.raiseFence(h)
+	}
 	return nil
 }
 
+// firstRaise is the first step by which a fence is raised that a worker has refused. First
+// fences are times of day in milliseconds, and clocks are set by seconds.
+const firstRaise = 1 << 10
+
+// raiseFence raises the fence of a worker that has not obeyed yet, by a step that doubles
+// with each refusal. One that has obeyed and then refuses is in the hands of another agent.
+func (x *Executor) raiseFence(h Hold) []Effect {
+	w := x.worker
+	if w == nil || !w.Life.Equal(h.Life) || w.fenced || w.fence != h.Fence {
+		return nil
+	}
+	x.raise = max(firstRaise, 2*x.raise)
+	x.Fence += x.raise
+	w.fence = x.Fence
+	return []Effect{Look{}}
+}
+
 // noteSilence notes that a worker has not answered a call.
 func (x *Executor) noteSilence(now time.Time, l Life) {
 	if x.worker != nil && x.worker.Life.Equal(l) {
--- a/internal/transient/prover/hosts_test.go
+++ b/internal/transient/prover/hosts_test.go
@@ -122,12 +122,23 @@
 	sequence    uint64
 }
 
+// setBack is how far the clock of an agent is set back in every third of its lives.
+const setBack = 6 * time.Second
+
+// firstFence is the time of day at the start of the agent, in milliseconds.
+func (a *agent) firstFence() uint64 {
+	if a.life%3 == 2 {
+		return uint64(a.incarnation) - uint64(setBack.Milliseconds())
+	}
+	return uint64(a.incarnation)
+}
+
 func (a *agent) boot() {
 	a.host.w = a.w
 	a.up, a.frozen, a.held = true, false, nil
 	a.life++
 	a.incarnation = identifier.NextIncarnation(a.w.now, a.incarnation)
-	a.x = &executor.Executor{Fence: uint64(a.incarnation)}
+	a.x = &executor.Executor{Fence: a.firstFence()}
 	a.links = make(map[*gateway]*link)
 	a.every(tickPause, func() { a.perform(a.x.Tick(a.w.now)) })
 	a.every(beatPause, a.beat)
--- a/internal/transient/prover/worker_test.go
+++ b/internal/transient/prover/worker_test.go
@@ -121,9 +121,12 @@
 
 func (k *worker) begin(b executor.Begin) executor.Reply {
 	until := k.born.Add(b.Until)
-	if b.Life.Worker != k.id || b.Fence < k.fence {
+	if b.Life.Worker != k.id {
 		return executor.Declined
 	}
+	if b.Fence < k.fence {
+		return executor.Outdated
+	}
 	// An order to an earlier life that comes before the first call of the agent to this one
 	// meets no fence, and nothing that an agent does can keep it from being carried out.
 	if k.fence == 0 && !b.Life.Born.Equal(k.born) {
@@ -192,9 +195,12 @@
 }
 
 func (k *worker) halt(h executor.Halt) executor.Reply {
-	if h.Life.Worker != k.id || h.Fence < k.fence {
+	if h.Life.Worker != k.id {
 		return executor.Declined
 	}
+	if h.Fence < k.fence {
+		return executor.Outdated
+	}
 	k.fence = h.Fence
 	k.barred[taskOf(h.Run)] = max(k.barred[taskOf(h.Run)], h.Run.Number)
 	life := k.life
@@ -208,7 +214,7 @@
 
 func (k *worker) hold(h executor.Hold) (executor.Held, executor.Reply) {
 	if h.Fence < k.fence {
-		return executor.Held{}, executor.Declined
+		return executor.Held{}, executor.Outdated
 	}
 	k.fence = h.Fence
 	if h.Extend && len(k.running) > 0 {
