Let starts that find no room wait a moment at the sidecar

Cause: gateways do not see each other's starts, and at the peak all of them send starts to the same room.

Ruled out: stale views alone; a shorter heartbeat costs the small gateways more.

Change: a start that finds no room waits at the sidecar in a line of up to a fourth of the worker, in the order of arrival, for at most 50 ms, and has freed room before anything is offered to gateways. What waits is unknown to the worker, so that a stop, the end of a permit or of the worker's life ends it at once.

--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -48,10 +48,13 @@
 	// this agent; a worker that refuses it is asked with a higher one.
 	Fence uint64
 
-	worker   *life
-	owners   map[identifier.Entry]*owner
-	runs     map[Run]*execution
-	used     specifier.Resources
+	worker *life
+	owners map[identifier.Entry]*owner
+	runs   map[Run]*execution
+	used   specifier.Resources
+	// queue holds the runs that wait for room, oldest first, and queued is their demand.
+	queue    []Run
+	queued   specifier.Resources
 	sequence uint64
 	// raise is the step by which the fence was raised last for a worker that refused it.
 	raise   uint64
@@ -90,12 +93,15 @@
 	doubtful
 	// stopping runs were accepted, and are to end.
 	stopping
+	// queued runs wait at the agent for room. The worker knows nothing of them.
+	queued
 )
 
 type execution struct {
 	entry       identifier.Entry
 	incarnation identifier.Incarnation
 	demand      specifier.Resources
+	spec        string
 	// life is the one of the worker that was ordered to start the run.
 	life  Life
 	phase phase
@@ -220,16 +226,21 @@
 	if o == nil {
 		return nil
 	}
-	if reason := x.refuse(now, o, m); reason != "" {
+	reason := x.refuse(now, o, m)
+	waits := reason == NoRoom && x.queueable(m.Demand)
+	if reason != "" && !waits {
 		return x.tellEnd(now, entry, o, Ended{Run: m.Run, How: Refused, Reason: reason})
 	}
 	if x.runs == nil {
 		x.runs = make(map[Run]*execution)
 	}
-	x.runs[m.Run] = &execution{entry: entry, incarnation: o.incarnation, demand: m.Demand, life: x.worker.Life, began: now}
-	x.take(o, m.Demand)
-	begin := Begin{Life: x.worker.Life, Run: m.Run, Spec: m.Spec, Until: x.worker.until(now), Fence: x.worker.fence}
-	return append(x.tellLarge(entry), begin)
+	e := &execution{entry: entry, incarnation: o.incarnation, demand: m.Demand, spec: m.Spec, life: x.worker.Life, began: now}
+	x.runs[m.Run] = e
+	if waits {
+		x.enqueue(m.Run, o, e)
+		return nil
+	}
+	return x.begin(now, m.Run, o, e)
 }
 
 func (x *Executor) refuse(now time.Time, o *owner, m *Start) Reason {
@@ -240,14 +251,15 @@
 		return Draining
 	case !now.Before(o.permitUntil) || x.withholds():
 		return NoPermit
-	case !m.Demand.Fits(x.worker.report.Capacity.Sub(x.used).Sub(x.reservedFor(o))):
-		return NoRoom
 	}
 	for run := range x.runs {
 		if run.Job == m.Run.Job && run.Index == m.Run.Index {
 			return Duplicate
 		}
 	}
+	if !x.hasRoom(o, m.Demand) {
+		return NoRoom
+	}
 	return ""
 }
 
@@ -272,6 +284,8 @@
 // halt sends an order to stop a run, unless one is on its way.
 func (x *Executor) halt(now time.Time, run Run, e *execution) []Effect {
 	switch e.phase {
+	case queued:
+		return x.finish(now, run, e, Stopped, "")
 	case beginning:
 		e.phase = doubtful
 	case working:
@@ -299,11 +313,13 @@
 // finish ends a run and tells its gateway.
 func (x *Executor) finish(now time.Time, run Run, e *execution, how How, reason Reason) []Effect {
 	delete(x.runs, run)
-	o := x.owners[e.entry]
-	if o != nil && o.incarnation != e.incarnation {
-		o = nil
+	o := x.ownerOf(e)
+	var effects []Effect
+	if e.phase == queued {
+		x.dequeue(run, e)
+	} else {
+		effects = x.release(now, o, e.demand)
 	}
-	effects := x.release(now, o, e.demand)
 	if o == nil {
 		return effects
 	}
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -345,6 +345,7 @@
 		}
 	}
 	effects = append(effects, x.expireReservations(now)...)
+	effects = append(effects, x.expireQueue(now)...)
 	return append(effects, x.checkSilence(now)...)
 }
 
--- a/internal/transient/executor/share.go
+++ b/internal/transient/executor/share.go
@@ -15,6 +15,8 @@
 	waiting  bool
 	priority int
 	used     specifier.Resources
+	// queued is the demand of its starts that wait for room.
+	queued specifier.Resources
 	// reserved is room that only this gateway may use, until reservedUntil.
 	reserved      specifier.Resources
 	reservedUntil time.Time
@@ -47,7 +49,7 @@
 
 // others returns what a gateway cannot use because of the others.
 func (x *Executor) others(o *owner) specifier.Resources {
-	return x.used.Sub(o.share.used).Add(x.reservedFor(o))
+	return x.used.Sub(o.share.used).Add(x.queued.Sub(o.share.queued)).Add(x.reservedFor(o))
 }
 
 // tellOthers returns what a gateway cannot use because of the others, and notes that it
@@ -75,8 +77,8 @@
 	o.share.reserved = o.share.reserved.Sub(demand).Positive()
 }
 
-// release frees room that a gateway used, which is nil when it has gone. Of the gateways
-// with waiting work, the most urgent one and then the one that uses least gets the room
+// release frees room that a gateway used, which is nil when it has gone. Starts that wait
+// here go first. Of the gateways with waiting work, the most urgent one and then the one that uses least gets the room
 // to itself for a moment: told to all, it would be asked for by all, and all but one
 // would have asked in vain.
 func (x *Executor) release(now time.Time, o *owner, demand specifier.Resources) []Effect {
@@ -84,6 +86,9 @@
 	if o != nil {
 		o.share.used = o.share.used.Sub(demand)
 	}
+	if effects := x.advance(now); len(effects) > 0 {
+		return effects
+	}
 	entry, winner := x.nextForRoom(o)
 	if winner == nil || winner == o {
 		// The gateway learns of its room by the end of its run.
--- a/internal/transient/executor/worker.go
+++ b/internal/transient/executor/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
@@ -129,6 +130,9 @@
 // confirmed. Such a run stays in doubt until the next life is fenced.
 func (x *Executor) endRuns(now time.Time, restarted bool) []Effect {
 	var effects []Effect
+	for _, run := range slices.Clone(x.queue) {
+		effects = append(effects, x.finish(now, run, x.runs[run], Refused, NoWorker)...)
+	}
 	for _, run := range x.order() {
 		e := x.runs[run]
 		if e.phase == beginning || e.phase == doubtful || (restarted && !e.confirmed) {
