Look once in a pass for room that several jobs need

Cause: each word of an agent made a gateway look for room for up to 16 waiting jobs at each of 64 agents, though nearly all of them need the same, and sort the agents to tell them nothing new.

Change: in one pass, a need that was not met is not looked for again; agents are sorted only when they are told something. BenchmarkFull, 64 full agents and 200 waiting jobs: 35,732 ns before, 3,210 ns after; 12 and 2 allocations.

--- a/internal/transient/coordinator/place.go
+++ b/internal/transient/coordinator/place.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
 )
@@ -72,12 +73,16 @@
 		return nil
 	}
 	var effects []Effect
-	skipped := 0
-	for i := 0; i < len(c.waiting) && skipped < maxSkipped; {
+	var unmet []need
+	for i := 0; i < len(c.waiting) && i < maxSkipped; {
 		j := c.waiting[i]
+		if slices.Contains(unmet, j.need()) {
+			i++
+			continue
+		}
 		effects = append(effects, c.placeJob(now, j)...)
 		if len(j.idle) > 0 {
-			skipped++
+			unmet = append(unmet, j.need())
 			i++
 			continue
 		}
@@ -86,6 +91,17 @@
 	return append(effects, c.tellWant()...)
 }
 
+// need is all that decides whether an agent has room for a task of a job. In one pass,
+// what one job does not find is not there for the next with the same need.
+type need struct {
+	service, label string
+	demand         specifier.Resources
+}
+
+func (j *job) need() need {
+	return need{j.Queue.Service, j.Label, j.Demand}
+}
+
 func (c *Coordinator) placeJob(now time.Time, j *job) []Effect {
 	var effects []Effect
 	for len(j.idle) > 0 {
@@ -196,13 +212,18 @@
 	if len(c.waiting) > 0 {
 		want = executor.Want{Waiting: true, Priority: c.waiting[0].Queue.Priority}
 	}
-	var effects []Effect
-	for _, a := range c.sorted() {
+	var names []identifier.Agent
+	for _, a := range c.agents {
 		if a.attached && a.told != want {
 			a.told = want
-			effects = append(effects, Send{a.name, &want})
+			names = append(names, a.name)
 		}
 	}
+	slices.Sort(names)
+	var effects []Effect
+	for _, name := range names {
+		effects = append(effects, Send{name, &want})
+	}
 	return effects
 }
 
