--- a/internal/bench/soaker/ledger.go
+++ b/internal/bench/soaker/ledger.go
@@ -35,6 +35,8 @@
 	Full Rule = "full"
 	// Unserved: every job is completed in time when all is calm.
 	Unserved Rule = "unserved"
+	// Unused: every worker gets work when all is calm.
+	Unused Rule = "unused"
 	// Backward: no process goes back to an older manifest.
 	Backward Rule = "backward"
 	// Stale: a manifest is in force everywhere in time when all is calm.
@@ -61,6 +63,8 @@
 	onWorker map[string]int
 	breaches []Breach
 	starts   int
+	// calm holds the workers that have begun a run since Demand.
+	calm map[string]bool
 }
 
 // record is a job.
@@ -80,6 +84,22 @@
 	number uint64
 }
 
+// Demand notes that all is calm from now on: each worker has to get work.
+func (l *Ledger) Demand() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calm = make(map[string]bool)
+}
+
+// CheckUsed demands that a worker has begun a run since Demand.
+func (l *Ledger) CheckUsed(now time.Time, worker string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.calm[worker] {
+		l.breach(now, Unused, "worker %s has got no work while all is calm", worker)
+	}
+}
+
 // Submitted notes that a caller sends a job, the first time or again.
 func (l *Ledger) Submitted(id, spec string, tasks int) {
 	l.mu.Lock()
@@ -130,6 +150,9 @@
 	}
 	l.running[task] = append(l.running[task], run)
 	l.onWorker[worker]++
+	if l.calm != nil {
+		l.calm[worker] = true
+	}
 	if n := l.onWorker[worker]; n > l.Room {
 		l.breach(now, Full, "worker %s runs %d tasks and has room for %d", worker, n, l.Room)
 	}
--- a/internal/bench/soaker/ledger_test.go
+++ b/internal/bench/soaker/ledger_test.go
@@ -21,6 +21,7 @@
 
 // step knows these lines:
 //
+//	demand; used WORKER
 //	submit JOB TASKS; refused JOB; cancelled JOB; completed JOB
 //	began WORKER TASK RUN [SPEC]; ended WORKER TASK RUN HOW; close
 //
@@ -45,6 +46,10 @@
 		l.Began(now, args[0], args[1], uint64(number(t, args[2])), spec)
 	case "ended":
 		l.Ended(args[0], args[1], uint64(number(t, args[2])), args[3])
+	case "demand":
+		l.Demand()
+	case "used":
+		l.CheckUsed(now, args[0])
 	case "close":
 		l.Close(now)
 	default:
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -130,6 +130,10 @@
 	fmt.Fprintf(s.settings.Out, "%s calm\n", time.Now().Format("15:04:05.000"))
 	sleep(ctx, recoverWithin)
 	s.demand.Store(true)
+	s.ledger.Demand()
 	s.checkManifests(ctx)
 	sleep(ctx, calm-recoverWithin)
+	for _, name := range s.settings.Size.workers() {
+		s.ledger.CheckUsed(time.Now(), s.workers[name].life().ID)
+	}
 }
