Strike single connections in the soak, run long tasks, and draw short faults more often

A seed's directory is new: two soaks that shared one overwrote each other's settings, which looked like broken promises.

--- a/cmd/dandeliongrade/soak.go
+++ b/cmd/dandeliongrade/soak.go
@@ -46,6 +46,9 @@
 			return errors.Wrap(err, "make a directory; give one with --dir")
 		}
 	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return errors.Wrap(err, "make a directory; give another one with --dir")
+	}
 	program, err := os.Executable()
 	if err != nil {
 		return errors.Wrap(err, "find this program")
@@ -80,8 +83,9 @@
 }
 
 func runSoak(ctx context.Context, cmd *cli.Command, seed uint64, dir, program string) (*soaker.Report, error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, errors.Wrap(err, "make a directory; give another one with --dir")
+	// Two soaks that share a directory would overwrite each other's settings.
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		return nil, errors.Wrap(err, "make the directory of a seed; give another one with --dir")
 	}
 	faults, err := os.Create(filepath.Join(dir, "faults.log"))
 	if err != nil {
--- a/internal/bench/soaker/callers.go
+++ b/internal/bench/soaker/callers.go
@@ -27,6 +27,8 @@
 	// cancelShare of the jobs are cancelled, leaveShare have a caller that leaves.
 	cancelShare = 0.05
 	leaveShare  = 0.05
+	// slowShare of the jobs run for so long that silence and lapsed permits find them at work.
+	slowShare = 0.25
 	// longestStay bounds the time until a job is cancelled or its caller leaves.
 	longestStay = 300 * time.Millisecond
 )
@@ -45,7 +47,10 @@
 	for ctx.Err() == nil {
 		e := &errand{id: fmt.Sprintf("%016x", random.Uint64()), tasks: 1 + random.IntN(maxTasks), demanded: s.demand.Load()}
 		e.spec = "spec of " + e.id
-		body, err := standin.Job(e.spec, e.tasks, callTimeout/maxTasks/callerCount)
+		if random.Float64() < slowShare && !e.demanded {
+			e.spec = standin.SlowSpec + " " + e.spec
+		}
+		body, err := standin.Job(e.spec, e.tasks, 0)
 		if err != nil {
 			s.ledger.Note(time.Now(), Broken, "a job cannot be encoded: %s", err)
 			return
--- a/internal/bench/soaker/faults.go
+++ b/internal/bench/soaker/faults.go
@@ -52,18 +52,19 @@
 // harm harms the connections of a path for a time.
 func (s *soak) harm(ctx context.Context, f Fault) {
 	path := s.forwarders[f.Target]
+	h := harm{every: f.Every}
 	switch f.Kind {
 	case Reset:
-		path.resetAll()
+		path.reset(h)
 		return
 	case Delay:
-		path.set(harm{delay: slowPath})
+		h.delay = slowPath
 	case Silence:
-		path.set(harm{holdTo: true, holdBack: true})
+		h.holdTo, h.holdBack = true, true
 	case CutOneWay:
-		back := f.For.Nanoseconds()%2 == 0
-		path.set(harm{holdTo: !back, holdBack: back})
+		h.holdTo, h.holdBack = f.Forth, !f.Forth
 	}
+	path.set(h)
 	sleep(ctx, f.For)
 	path.set(harm{})
 }
--- a/internal/bench/soaker/forwarder.go
+++ b/internal/bench/soaker/forwarder.go
@@ -20,6 +20,8 @@
 	mu    sync.Mutex
 	harm  harm
 	conns map[*forwarded]bool
+	// opened counts all connections so far.
+	opened int
 	// changed is closed when harm changes.
 	changed chan struct{}
 }
@@ -29,14 +31,22 @@
 	delay time.Duration
 	// holdTo and holdBack keep the bytes to and from the target.
 	holdTo, holdBack bool
+	// every is the distance between the connections that are harmed, in the order in which
+	// they were opened. At zero all are.
+	every int
 }
 
-func (h harm) holds(back bool) bool {
-	return back && h.holdBack || !back && h.holdTo
+func (h harm) holds(c *forwarded, back bool) bool {
+	return h.strikes(c) && (back && h.holdBack || !back && h.holdTo)
+}
+
+func (h harm) strikes(c *forwarded) bool {
+	return h.every == 0 || c.number%h.every == 0
 }
 
 // forwarded is a connection and the one that it is passed on to.
 type forwarded struct {
+	number  int
 	in, out net.Conn
 }
 
@@ -69,15 +79,22 @@
 	f.changed = make(chan struct{})
 }
 
-// resetAll ends all connections.
-func (f *forwarder) resetAll() {
+// reset ends the connections that a harm strikes.
+func (f *forwarder) reset(h harm) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
-		c.reset()
+		if h.strikes(c) {
+			c.reset()
+		}
 	}
 }
 
+// resetAll ends all connections.
+func (f *forwarder) resetAll() {
+	f.reset(harm{})
+}
+
 // run passes connections on until ctx ends.
 func (f *forwarder) run(ctx context.Context, ln net.Listener) {
 	stop := context.AfterFunc(ctx, f.resetAll)
@@ -95,6 +112,8 @@
 		return
 	}
 	f.mu.Lock()
+	f.opened++
+	c.number = f.opened
 	f.conns[c] = true
 	f.mu.Unlock()
 	if ctx.Err() != nil {
@@ -131,8 +150,10 @@
 	source, held := chunks, []byte(nil)
 	for source != nil || len(held) > 0 {
 		h, changed := f.present()
-		if len(held) > 0 && !h.holds(back) {
-			sleep(ctx, h.delay)
+		if len(held) > 0 && !h.holds(c, back) {
+			if h.strikes(c) {
+				sleep(ctx, h.delay)
+			}
 			if _, err := to.Write(held); err != nil {
 				return
 			}
--- a/internal/bench/soaker/plan.go
+++ b/internal/bench/soaker/plan.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -41,11 +43,22 @@
 	Kind    Kind
 	// Target names a process, a path of connections or a worker, as the kind needs it.
 	Target string
+	// Every is which connections of a path are struck: all at zero, else every so-manieth.
+	Every int
+	// Forth tells which way a path is cut.
+	Forth bool
 }
 
 // String returns the fault as one line of a plan.
 func (f Fault) String() string {
-	return fmt.Sprintf("%7.3fs for %5.3fs %s %s", f.At.Seconds(), f.For.Seconds(), f.Kind, f.Target)
+	text := fmt.Sprintf("%7.3fs for %5.3fs %s %s", f.At.Seconds(), f.For.Seconds(), f.Kind, f.Target)
+	if f.Every > 0 {
+		text += fmt.Sprintf(" every=%d", f.Every)
+	}
+	if f.Kind == CutOneWay {
+		text += fmt.Sprintf(" forth=%t", f.Forth)
+	}
+	return text
 }
 
 // Size is how many processes a soak runs.
@@ -73,12 +86,11 @@
 // Draw returns the plan of a seed, for a soak of some length.
 func Draw(seed uint64, length time.Duration, size Size) []Fault {
 	random := rand.New(rand.NewPCG(seed, seed))
-	between := func(from, to time.Duration) time.Duration { return from + time.Duration(random.Int64N(int64(to-from))) }
 	end := length - calm
 	var plan []Fault
-	for at := warmUp; at < end; at += between(0, 2*meanGap) {
+	for at := warmUp; at < end; at += time.Duration(random.Int64N(int64(2 * meanGap))) {
 		f := size.draw(random)
-		f.At, f.For = at, between(shortestFault, longestFault)
+		f.At, f.For = at, drawLength(random)
 		times := 1
 		if random.Float64() < seriesShare {
 			times = seriesLength
@@ -89,13 +101,20 @@
 				break
 			}
 			plan = append(plan, f)
-			f.At += f.For + between(shortestFault, longestFault/seriesLength)
+			f.At += f.For + drawLength(random)/seriesLength
 		}
 	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
+// drawLength draws how long a fault lasts, evenly by its logarithm: the time limits that it
+// has to hit lie between a tenth of a second and a second.
+func drawLength(random *rand.Rand) time.Duration {
+	ratio := float64(longestFault) / float64(shortestFault)
+	return time.Duration(float64(shortestFault) * math.Pow(ratio, random.Float64()))
+}
+
 // draw chooses a kind and a target.
 func (s Size) draw(random *rand.Rand) Fault {
 	pick := func(names []string) string { return names[random.IntN(len(names))] }
@@ -109,6 +128,11 @@
 		f.Target = pick(append(s.gateways(), s.sidecars()...))
 	case Delay, Reset, Silence, CutOneWay:
 		f.Target = pick(s.paths())
+		f.Forth = random.IntN(2) == 0
+		// A gateway that loses some of its agents tries elsewhere; one that loses all waits.
+		if strings.HasPrefix(f.Target, "link") && random.IntN(3) > 0 {
+			f.Every = 2 + random.IntN(2)
+		}
 	case WorkerCrash, WorkerHang, FenceAhead:
 		f.Target = pick(s.workers())
 	}
