--- a/cmd/dandeliongrade/gateway.go
+++ b/cmd/dandeliongrade/gateway.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/config/loader"
-	"github.com/dandeliongrade/dandeliongrade/internal/core/timekeeper"
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/gateway/runner"
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
 	"github.com/dandeliongrade/dandeliongrade/platform/callers"
@@ -15,47 +15,28 @@
 )
 
 func gatewayCommand() *cli.Command {
-	return &cli.Command{
-		Name:        "gateway",
-		Usage:       "take transient jobs from callers on the users' platform and dispatch their tasks",
-		ArgsUsage:   "[SETTINGS]",
-		Description: "Without an argument, the settings file is the one that the variable " + settingsVariable + " names.",
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			settings := loader.DefaultGateway()
-			file, err := loadPlatformSettings(cmd, settings)
-			if err != nil {
-				return err
-			}
-			return withLog("gateway", string(settings.Name), func(log *zap.Logger) error {
-				return runGateway(ctx, file, settings, log)
-			})
-		},
-	}
+	return platformRole[*loader.Gateway]{
+		name:     "gateway",
+		usage:    "take transient jobs from callers on the users' platform and dispatch their tasks",
+		defaults: loader.DefaultGateway,
+		instance: func(s *loader.Gateway) string { return string(s.Name) },
+		begin:    beginGateway,
+	}.command()
 }
 
-func runGateway(ctx context.Context, file string, settings *loader.Gateway, log *zap.Logger) error {
-	clock, err := timekeeper.Boot()
-	if err != nil {
-		return err
-	}
+func beginGateway(settings *loader.Gateway, log *zap.Logger, clock identifier.Clock) (running[*loader.Gateway], error) {
+	var none running[*loader.Gateway]
 	client, err := store.New(settings.Store)
 	if err != nil {
-		return err
+		return none, err
 	}
 	ports, err := runner.Listen(settings)
 	if err != nil {
-		return err
+		return none, err
 	}
 	r := runner.New(settings, log, clock, runner.Edges{Store: client, Dial: connector.DialTCP})
-	reload := func(src []byte) error {
-		next := loader.DefaultGateway()
-		if faults := loader.Parse(file, src, next); len(faults) > 0 {
-			return faults
-		}
-		r.Reload(next)
-		return nil
-	}
-	return withReload(ctx, file, log, reload, func() error {
+	serve := func(ctx context.Context) error {
 		return r.Serve(ctx, ports, &callers.Server{Jobs: r, Log: log}, &callers.Readiness{Ready: r.Ready})
-	})
+	}
+	return running[*loader.Gateway]{serve: serve, reload: r.Reload}, nil
 }
--- a/cmd/dandeliongrade/role.go
+++ b/cmd/dandeliongrade/role.go
@@ -11,12 +11,71 @@
 
 	"github.com/dandeliongrade/dandeliongrade/internal/config/loader"
 	"github.com/dandeliongrade/dandeliongrade/internal/config/reloader"
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/core/timekeeper"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 )
 
 // settingsVariable names the settings file of a process on the users' platform.
 const settingsVariable = "DANDELIONGRADE_CONFIG"
 
+// platformRole is a role on the users' platform, with settings of type S.
+type platformRole[S loader.Settings] struct {
+	name, usage string
+	defaults    func() S
+	// instance returns the name of a process with the given settings.
+	instance func(S) string
+	// begin opens the ports of a process.
+	begin func(settings S, log *zap.Logger, clock identifier.Clock) (running[S], error)
+}
+
+// running is a process whose ports are open.
+type running[S loader.Settings] struct {
+	// serve runs it until ctx ends.
+	serve func(ctx context.Context) error
+	// reload takes changed settings.
+	reload func(S)
+}
+
+func (p platformRole[S]) command() *cli.Command {
+	return &cli.Command{
+		Name:        p.name,
+		Usage:       p.usage,
+		ArgsUsage:   "[SETTINGS]",
+		Description: "Without an argument, the settings file is the one that the variable " + settingsVariable + " names.",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			settings := p.defaults()
+			file, err := loadPlatformSettings(cmd, settings)
+			if err != nil {
+				return err
+			}
+			return withLog(p.name, p.instance(settings), func(log *zap.Logger) error {
+				return p.run(ctx, file, settings, log)
+			})
+		},
+	}
+}
+
+func (p platformRole[S]) run(ctx context.Context, file string, settings S, log *zap.Logger) error {
+	clock, err := timekeeper.Boot()
+	if err != nil {
+		return err
+	}
+	process, err := p.begin(settings, log, clock)
+	if err != nil {
+		return err
+	}
+	reload := func(src []byte) error {
+		next := p.defaults()
+		if faults := loader.Parse(file, src, next); len(faults) > 0 {
+			return faults
+		}
+		process.reload(next)
+		return nil
+	}
+	return withReload(ctx, file, log, reload, func() error { return process.serve(ctx) })
+}
+
 // loadPlatformSettings reads the settings file that the command line or the environment
 // names, and returns its name.
 func loadPlatformSettings(cmd *cli.Command, settings loader.Settings) (string, error) {
--- a/cmd/dandeliongrade/sidecar.go
+++ b/cmd/dandeliongrade/sidecar.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/config/loader"
-	"github.com/dandeliongrade/dandeliongrade/internal/core/timekeeper"
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
 	"github.com/dandeliongrade/dandeliongrade/internal/sidecar/runner"
 	"github.com/dandeliongrade/dandeliongrade/platform/store"
@@ -15,51 +15,32 @@
 )
 
 func sidecarCommand() *cli.Command {
-	return &cli.Command{
-		Name:        "sidecar",
-		Usage:       "run tasks on the worker of this machine on the users' platform",
-		ArgsUsage:   "[SETTINGS]",
-		Description: "Without an argument, the settings file is the one that the variable " + settingsVariable + " names.",
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			settings := loader.DefaultSidecar()
-			file, err := loadPlatformSettings(cmd, settings)
-			if err != nil {
-				return err
-			}
-			return withLog("sidecar", string(settings.Name), func(log *zap.Logger) error {
-				return runSidecar(ctx, file, settings, log)
-			})
-		},
-	}
+	return platformRole[*loader.Sidecar]{
+		name:     "sidecar",
+		usage:    "run tasks on the worker of this machine on the users' platform",
+		defaults: loader.DefaultSidecar,
+		instance: func(s *loader.Sidecar) string { return string(s.Name) },
+		begin:    beginSidecar,
+	}.command()
 }
 
-func runSidecar(ctx context.Context, file string, settings *loader.Sidecar, log *zap.Logger) error {
-	clock, err := timekeeper.Boot()
-	if err != nil {
-		return err
-	}
+func beginSidecar(settings *loader.Sidecar, log *zap.Logger, clock identifier.Clock) (running[*loader.Sidecar], error) {
+	var none running[*loader.Sidecar]
 	client, err := store.New(settings.Store)
 	if err != nil {
-		return err
+		return none, err
 	}
 	worker, err := workers.New(settings.Worker)
 	if err != nil {
-		return err
+		return none, err
 	}
 	ports, err := runner.Listen(settings)
 	if err != nil {
-		return err
+		return none, err
 	}
 	r := runner.New(settings, log, clock, runner.Edges{Store: client, Worker: worker, Dial: connector.DialTCP})
-	reload := func(src []byte) error {
-		next := loader.DefaultSidecar()
-		if faults := loader.Parse(file, src, next); len(faults) > 0 {
-			return faults
-		}
-		r.Reload(next)
-		return nil
-	}
-	return withReload(ctx, file, log, reload, func() error {
+	serve := func(ctx context.Context) error {
 		return r.Serve(ctx, ports, &workers.Reports{Registry: r, Log: log})
-	})
+	}
+	return running[*loader.Sidecar]{serve: serve, reload: r.Reload}, nil
 }
