Bound the links of a process where gateways are many

Cause: every sidecar linked to every gateway, and every gateway to every other: at 24,000 workers and some thousand gateways each process would have thousands of links, at twenty messages a second each.

Change: a process that knows more than sixteen gateways links to the sixteen that come first in an order of its own (a hash of its name and the address). An address that cannot be reached is passed over for five seconds; links that are up are kept, for runs depend on them.

--- a/internal/bench/soaker/cell.go
+++ b/internal/bench/soaker/cell.go
@@ -38,7 +38,7 @@
 	controlPort  = 7500
 	ordersPort   = 7600
 	sidecarAdmin = 7700
-	// forwarded is added to the port that a forwarder stands before.
+	// forwardedPort is added to the port that a forwarder stands before.
 	forwardedPort = 1000
 	gatewayStore  = 9100
 	sidecarStore  = 9200
--- a/internal/bench/soaker/faults.go
+++ b/internal/bench/soaker/faults.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// slowPath is the delay of a slow path, each way. Ten of it are less than the time-outs of
-// calls, twenty are more.
+// slowPath is the delay of a slow path, each way: some calls on it are answered in time and
+// series of them are not.
 const slowPath = 20 * time.Millisecond
 
 // carryOut carries a fault out and returns when it is over.
--- a/internal/bench/soaker/plan.go
+++ b/internal/bench/soaker/plan.go
@@ -43,7 +43,8 @@
 	Kind    Kind
 	// Target names a process, a path of connections or a worker, as the kind needs it.
 	Target string
-	// Every is which connections of a path are struck: all at zero, else every so-manieth.
+	// Every is the distance between the connections of a path that are struck; all are at
+	// zero.
 	Every int
 	// Forth tells which way a path is cut.
 	Forth bool
--- a/internal/gateway/runner/links.go
+++ b/internal/gateway/runner/links.go
@@ -96,6 +96,9 @@
 func (r *Runner) session(ctx context.Context, p announcer.Peer) bool {
 	link, welcome, err := connector.Dial(ctx, r.edges.Dial, p.Link, r.settings.Timing, announcer.Hello{Entry: r.settings.Name})
 	if err != nil {
+		if ctx.Err() == nil {
+			r.unreached(p.Link)
+		}
 		return false
 	}
 	r.log.Info("gateway_linked", zap.String("gateway", string(welcome.Entry)))
@@ -132,6 +135,15 @@
 	r.lister.Keep(r.clock(), addr)
 }
 
+// unreached notes that an address could not be dialled, and lets another one be chosen.
+func (r *Runner) unreached(addr netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lister.Failed(r.clock(), addr) {
+		r.want()
+	}
+}
+
 func (r *Runner) release(addr netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -197,7 +197,7 @@
 // want passes the known gateways to the task that dials them.
 func (r *Runner) want() {
 	var peers []announcer.Peer
-	for _, addr := range r.lister.List() {
+	for _, addr := range r.lister.Choose(r.clock(), string(r.settings.Name)) {
 		if addr != r.settings.LinkAddr() {
 			peers = append(peers, announcer.Peer{Link: addr})
 		}
--- a/internal/member/lister/lister.go
+++ b/internal/member/lister/lister.go
@@ -24,6 +24,8 @@
 	confirmed map[netip.AddrPort]time.Time
 	// kept counts the reasons for which an address must not be forgotten.
 	kept map[netip.AddrPort]int
+	// failed holds when an address could not be reached.
+	failed map[netip.AddrPort]time.Time
 }
 
 // Keep adds addresses that are not forgotten before as many calls of Release: those of
@@ -61,10 +63,10 @@
 	return fresh
 }
 
-// Expire drops the addresses that were not confirmed for long, and reports whether
-// there were any.
+// Expire drops what is long ago: addresses that were not confirmed since, and failures. It
+// reports whether that may change what is chosen.
 func (l *Lister) Expire(now time.Time) bool {
-	dropped := false
+	dropped := l.forgive(now)
 	for a, at := range l.confirmed {
 		if l.kept[a] == 0 && now.Sub(at) >= forgetAfter {
 			delete(l.confirmed, a)
--- a/internal/member/lister/lister_test.go
+++ b/internal/member/lister/lister_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -20,8 +21,26 @@
 
 // step knows these lines:
 //
-//	add ADDRESS...; keep ADDRESS; release ADDRESS; expire; list
+//	add ADDRESS...; keep ADDRESS; release ADDRESS; failed ADDRESS; expire; list
+//	many N; choose NAME
+//
+// Many adds the addresses 10.0.0.1:1 to 10.0.0.N:1. Choose shows their last numbers.
 func step(t *testing.T, l *Lister, now time.Time, words []string) string {
+	switch words[0] {
+	case "many":
+		n, err := strconv.Atoi(words[1])
+		assert.NilError(t, err)
+		for i := range n {
+			l.Add(now, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 1))
+		}
+		return ""
+	case "choose":
+		var last []byte
+		for _, a := range l.Choose(now, words[1]) {
+			last = append(last, a.Addr().As4()[3])
+		}
+		return fmt.Sprintf("%d: %d", len(last), last)
+	}
 	var addrs []netip.AddrPort
 	for _, w := range words[1:] {
 		addr, err := netip.ParseAddrPort(w)
@@ -36,6 +55,8 @@
 		return ""
 	case "add":
 		return fmt.Sprintf("fresh=%t", l.Add(now, addrs...))
+	case "failed":
+		return fmt.Sprintf("another=%t", l.Failed(now, addrs[0]))
 	case "expire":
 		return fmt.Sprintf("dropped=%t", l.Expire(now))
 	}
--- a/internal/sidecar/runner/links.go
+++ b/internal/sidecar/runner/links.go
@@ -21,6 +21,9 @@
 	hello := announcer.Hello{Agent: r.settings.Name, Incarnation: r.incarnation}
 	link, welcome, err := connector.Dial(ctx, r.edges.Dial, p.Link, r.settings.Timing, hello)
 	if err != nil {
+		if ctx.Err() == nil {
+			r.unreached(p.Link)
+		}
 		return false
 	}
 	entry := welcome.Entry
@@ -64,6 +67,15 @@
 	r.lister.Keep(r.clock(), addr)
 }
 
+// unreached notes that an address could not be dialled, and lets another one be chosen.
+func (r *Runner) unreached(addr netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lister.Failed(r.clock(), addr) {
+		r.want()
+	}
+}
+
 func (r *Runner) release(addr netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/sidecar/runner/runner.go
+++ b/internal/sidecar/runner/runner.go
@@ -222,7 +222,7 @@
 // want passes the known gateways to the task that dials them.
 func (r *Runner) want() {
 	var peers []announcer.Peer
-	for _, addr := range r.lister.List() {
+	for _, addr := range r.lister.Choose(r.clock(), string(r.settings.Name)) {
 		peers = append(peers, announcer.Peer{Link: addr})
 	}
 	select {
