--- a/internal/transient/coordinator/bench_test.go
+++ b/internal/transient/coordinator/bench_test.go
@@ -11,26 +11,63 @@
 )
 
 // BenchmarkFull is what a word of an agent costs a gateway while all workers are full and
-// jobs of three queues wait.
+// 200 jobs of three queues wait.
 func BenchmarkFull(b *testing.B) {
-	const agents, jobs = 64, 200
-	now := time.Unix(0, 0)
-	c := Coordinator{Zone: "a"}
-	full := specifier.Resources{CPU: 16_000, Memory: 1 << 16}
+	for _, agents := range []int{64, 256, 1024} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			full := specifier.Resources{CPU: 16_000, Memory: 1 << 16}
+			c := fullCoordinator(now, agents, full)
+			for n := range 200 {
+				c.Submit(now, benchJob(n, 4))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Load(now, "side-7", full)
+			}
+		})
+	}
+}
+
+// BenchmarkJob is what a job of four tasks costs a gateway from its arrival to its answer,
+// while there is room.
+func BenchmarkJob(b *testing.B) {
+	for _, agents := range []int{64, 256, 1024} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			c := fullCoordinator(now, agents, specifier.Resources{})
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				for _, e := range c.Submit(now, benchJob(n, 4)) {
+					if s, ok := e.(Send); ok {
+						if start, ok := s.Message.(*executor.Start); ok {
+							c.Ended(now, s.To, &executor.Ended{Run: start.Run, How: executor.Done, Took: time.Millisecond})
+						}
+					}
+				}
+				n++
+			}
+		})
+	}
+}
+
+// fullCoordinator returns one with agents whose workers others use.
+func fullCoordinator(now time.Time, agents int, others specifier.Resources) *Coordinator {
+	c := &Coordinator{Zone: "a"}
+	capacity := specifier.Resources{CPU: 16_000, Memory: 1 << 16}
 	for n := range agents {
 		name := identifier.Agent(fmt.Sprintf("side-%d", n))
 		c.AgentLinked(now, name, 1)
-		c.Attached(now, name, &executor.Attach{Status: executor.Status{Available: true, Service: "s", Zone: "a", Capacity: full, Others: full}})
-	}
-	for n := range jobs {
-		queue := specifier.Queue{Name: fmt.Sprintf("q%d", n%3), Service: "s", Priority: n % 3}
-		c.Submit(now, specifier.Job{
-			ID: specifier.JobID(fmt.Sprintf("%016x", n)), Queue: queue, Tasks: 4, Demand: specifier.Resources{CPU: 1600, Memory: 64},
-			Estimate: 100 * time.Millisecond, Budget: time.Second,
-		})
+		c.Attached(now, name, &executor.Attach{Status: executor.Status{Available: true, Service: "s", Zone: "a", Capacity: capacity, Others: others}})
 	}
-	b.ReportAllocs()
-	for b.Loop() {
-		c.Load(now, "side-7", full)
+	return c
+}
+
+func benchJob(n, tasks int) specifier.Job {
+	return specifier.Job{
+		ID: specifier.JobID(fmt.Sprintf("%016x", n)), Queue: specifier.Queue{Name: fmt.Sprintf("q%d", n%3), Service: "s", Priority: n % 3},
+		Tasks: tasks, Demand: specifier.Resources{CPU: 1600, Memory: 64}, Estimate: 100 * time.Millisecond, Budget: time.Second,
 	}
 }
