--- a/internal/bench/soaker/faults.go
+++ b/internal/bench/soaker/faults.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// slowPath is the delay of a slow path, each way: some calls on it are answered in time and
-// series of them are not.
+// slowPath is the delay of a slow path, each way and for each piece. It is well under the
+// time-outs of calls, and several in a row are not.
 const slowPath = 20 * time.Millisecond
 
 // carryOut carries a fault out and returns when it is over.
@@ -82,7 +82,7 @@
 	w.end()
 	s.forwarders[strings.Replace(f.Target, "worker", "orders_of_sidecar", 1)].resetAll()
 	sleep(ctx, f.For)
-	if w.alive() || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		return
 	}
 	if err := w.begin(s.base); err != nil {
--- a/internal/bench/soaker/ledger.go
+++ b/internal/bench/soaker/ledger.go
@@ -41,7 +41,7 @@
 	Backward Rule = "backward"
 	// Stale: a manifest is in force everywhere in time when all is calm.
 	Stale Rule = "stale"
-	// Broken: the soak could carry out what it meant to.
+	// Broken: the soak itself can do what its plan says.
 	Broken Rule = "broken"
 	// Ended: no process ends by itself, and each ends within its grace when it is asked to.
 	Ended Rule = "ended"
--- a/internal/bench/soaker/worker.go
+++ b/internal/bench/soaker/worker.go
@@ -27,10 +27,14 @@
 	ended chan error
 }
 
-// begin starts a life. Every other one keeps the identity of the life before.
+// begin starts a life if there is none. Every other one keeps the identity of the life
+// before.
 func (w *worker) begin(ctx context.Context) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stop != nil {
+		return nil
+	}
 	ln, err := listener.Listen(w.addr)
 	if err != nil {
 		return err
@@ -59,13 +63,6 @@
 	w.stop = nil
 }
 
-// alive reports whether there is a present life.
-func (w *worker) alive() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.stop != nil
-}
-
 // life returns the present or the last life.
 func (w *worker) life() *standin.Worker {
 	w.mu.Lock()
