Extend no lease when a permit is over by time, whatever the last tick saw

Cause found by reading along that path: whether a hold may extend the lease hung on what the last tick had marked. A sidecar that stood still and wakes with its hold before its tick extended the lease of a run whose permit was over, by up to 450 ms, and the margin for that is 75 ms. A start of another gateway passed in the same way.

--- a/internal/bench/soaker/callers.go
+++ b/internal/bench/soaker/callers.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// callerCount callers at once keep the workers full at the peaks.
-	callerCount = 8
+	// callersPerWorkers callers at once for so many workers keep these full at the peaks, so
+	// that every worker is needed.
+	callersPerWorkers = 8
+	workersPerCallers = 3
 	// callTimeout is when a caller gives up, as on the sites.
 	callTimeout = 1500 * time.Millisecond
 	// resendAfter is how long after a call without an answer its job is sent again.
@@ -41,6 +43,11 @@
 	demanded bool
 }
 
+// callers returns how many callers there are.
+func (s Size) callers() int {
+	return max(callersPerWorkers, callersPerWorkers*s.Workers/workersPerCallers)
+}
+
 // call sends jobs one after the other until ctx ends.
 func (s *soak) call(ctx context.Context, n int) {
 	random := rand.New(rand.NewPCG(s.settings.Seed, uint64(n)))
--- a/internal/bench/soaker/cell.go
+++ b/internal/bench/soaker/cell.go
@@ -44,6 +44,10 @@
 	sidecarStore  = 9200
 )
 
+// runTimes are those of the workers in turn. A long task takes eight times as long, and may still
+// end within the time of a caller.
+var runTimes = []time.Duration{70 * time.Millisecond, 100 * time.Millisecond, 130 * time.Millisecond}
+
 // cell is the processes, the stand-ins and the forwarders between them.
 type cell struct {
 	ip         netip.Addr
@@ -141,7 +145,7 @@
 	w := &worker{name: name, addr: c.addr(ordersPort + n), observer: observer}
 	w.control = c.addr(controlPort + forwardedPort + n)
 	// Workers differ in speed, so that runs overlap in ever new ways.
-	w.runTime = time.Duration(40+30*n) * time.Millisecond
+	w.runTime = runTimes[int(n-1)%len(runTimes)]
 	if n%2 == 0 {
 		w.slowness = clockError
 	}
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -93,7 +93,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	var tasks []func()
-	for n := range callerCount {
+	for n := range s.settings.Size.callers() {
 		tasks = append(tasks, func() { s.call(ctx, n) })
 	}
 	for _, g := range s.settings.Size.gateways() {
--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -249,7 +249,7 @@
 		return NoWorker
 	case x.leaving || x.worker.report.Draining:
 		return Draining
-	case !now.Before(o.permitUntil) || x.withholds():
+	case !now.Before(o.permitUntil) || x.withholds(now):
 		return NoPermit
 	}
 	for run := range x.runs {
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -98,7 +98,7 @@
 	case now.Sub(w.unanswered) < shortHoldLength:
 		h.Wait = shortHoldWait
 	}
-	if w.fenced && len(x.runs) > 0 && !x.withholds() {
+	if w.fenced && len(x.runs) > 0 && !x.withholds(now) {
 		h.Extend, h.Until = true, w.until(now)
 	}
 	return h, true
@@ -115,10 +115,14 @@
 }
 
 // withholds reports whether the lease must not be extended, because a run whose permit
-// is over has not been stopped.
-func (x *Executor) withholds() bool {
+// is over has not been stopped. A tick may come late, so the time counts and not only what
+// the last one saw.
+func (x *Executor) withholds(now time.Time) bool {
 	for _, e := range x.runs {
-		if e.revoked && e.stopAnswered.IsZero() {
+		if e.phase == queued || !e.stopAnswered.IsZero() {
+			continue
+		}
+		if o := x.ownerOf(e); e.revoked || o == nil || !now.Before(o.permitUntil) {
 			return true
 		}
 	}
--- a/internal/transient/executor/queue.go
+++ b/internal/transient/executor/queue.go
@@ -78,7 +78,7 @@
 // takes reports whether a run of a gateway may begin now, room aside.
 func (x *Executor) takes(now time.Time, o *owner) bool {
 	w := x.worker
-	return w != nil && w.usable() && !x.leaving && !w.report.Draining && now.Before(o.permitUntil) && !x.withholds()
+	return w != nil && w.usable() && !x.leaving && !w.report.Draining && now.Before(o.permitUntil) && !x.withholds(now)
 }
 
 // hasRoom reports whether a demand of a gateway fits into what is free for it.
