Give the links to gateways one owner, and read clocks and numbers in one place

Reading the change as a newcomer: gateway and sidecar each had the same five functions around the list of gateways, with the same pause, channel and lock. They are one type now, package member/finder; what is chosen is still decided in lister, with the time as an argument.

--- a/internal/bench/scripter/scripter.go
+++ b/internal/bench/scripter/scripter.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -88,3 +89,10 @@
 	assert.NilError(t, err)
 	return d
 }
+
+// Number reads a whole number of a script.
+func Number(t *testing.T, text string) int {
+	n, err := strconv.Atoi(text)
+	assert.NilError(t, err)
+	return n
+}
--- a/internal/bench/soaker/callers.go
+++ b/internal/bench/soaker/callers.go
@@ -59,7 +59,7 @@
 		}
 		body, err := standin.Job(e.spec, e.tasks, 0)
 		if err != nil {
-			s.ledger.Note(time.Now(), Broken, "a job cannot be encoded: %s", err)
+			s.note(Broken, "a job cannot be encoded: %s", err)
 			return
 		}
 		e.body = body
@@ -92,7 +92,7 @@
 		}
 		status, answer := s.send(ctx, &s.callers, s.gateway(random), e)
 		if e.demanded && ctx.Err() == nil && (status != http.StatusOK || !strings.Contains(answer, "completed")) {
-			s.ledger.Note(time.Now(), Unserved, "job %s of %d tasks got %d %s while all is calm", e.id, e.tasks, status, answer)
+			s.note(Unserved, "job %s of %d tasks got %d %s while all is calm", e.id, e.tasks, status, answer)
 		}
 		if status != 0 && status != http.StatusGatewayTimeout && status != http.StatusBadGateway {
 			return
--- a/internal/bench/soaker/faults.go
+++ b/internal/bench/soaker/faults.go
@@ -42,13 +42,18 @@
 		w.Hang(false)
 	case FenceAhead:
 		// The same as a sidecar that starts again after its clock was set back.
-		sidecar := s.processes[strings.Replace(f.Target, "worker", "sidecar", 1)]
+		sidecar := s.processes[sidecarOf(f.Target)]
 		sidecar.signal(syscall.SIGKILL)
 		s.workers[f.Target].life().RaiseFence(uint64(f.For.Milliseconds()) * 10)
 		sidecar.restart(ctx, syscall.SIGKILL, f.For)
 	}
 }
 
+// sidecarOf returns the name of the sidecar beside a worker.
+func sidecarOf(worker string) string {
+	return strings.Replace(worker, "worker", "sidecar", 1)
+}
+
 // harm harms the connections of a path for a time.
 func (s *soak) harm(ctx context.Context, f Fault) {
 	path := s.forwarders[f.Target]
@@ -80,13 +85,13 @@
 func (s *soak) crash(ctx context.Context, f Fault) {
 	w := s.workers[f.Target]
 	w.end()
-	s.forwarders[strings.Replace(f.Target, "worker", "orders_of_sidecar", 1)].resetAll()
+	s.forwarders["orders_of_"+sidecarOf(f.Target)].resetAll()
 	sleep(ctx, f.For)
 	if ctx.Err() != nil {
 		return
 	}
 	if err := w.begin(s.base); err != nil {
-		s.ledger.Note(time.Now(), Broken, "worker %s does not start again: %s", f.Target, err)
+		s.note(Broken, "worker %s does not start again: %s", f.Target, err)
 	}
 }
 
@@ -100,9 +105,9 @@
 	case ctx.Err() != nil:
 		return
 	case !ended || took > grace+graceMargin:
-		s.ledger.Note(time.Now(), Ended, "%s has not ended %s after SIGTERM, with a grace of %s", p.name, took, grace)
+		s.note(Ended, "%s has not ended %s after SIGTERM, with a grace of %s", p.name, took, grace)
 	case err != nil && speaks && !strings.Contains(err.Error(), "killed"):
-		s.ledger.Note(time.Now(), Ended, "%s ended after SIGTERM with %s", p.name, err)
+		s.note(Ended, "%s ended after SIGTERM with %s", p.name, err)
 	}
 	sleep(ctx, d)
 	p.revive(ctx)
@@ -113,7 +118,7 @@
 	for ctx.Err() == nil {
 		for _, p := range s.processes {
 			if surprise, err := p.surprise(); surprise {
-				s.ledger.Note(time.Now(), Ended, "%s ended by itself with %v; see its log", p.name, err)
+				s.note(Ended, "%s ended by itself with %v; see its log", p.name, err)
 				p.revive(ctx)
 			}
 		}
--- a/internal/bench/soaker/ledger_test.go
+++ b/internal/bench/soaker/ledger_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"github.com/dandeliongrade/dandeliongrade/internal/bench/scripter"
 )
 
@@ -31,7 +28,7 @@
 	args := append(words[1:], "", "", "")
 	switch words[0] {
 	case "submit":
-		l.Submitted(args[0], args[0], number(t, args[1]))
+		l.Submitted(args[0], args[0], scripter.Number(t, args[1]))
 	case "refused":
 		l.Refused(args[0])
 	case "cancelled":
@@ -43,9 +40,9 @@
 		if args[3] != "" {
 			spec = args[3]
 		}
-		l.Began(now, args[0], args[1], uint64(number(t, args[2])), spec)
+		l.Began(now, args[0], args[1], uint64(scripter.Number(t, args[2])), spec)
 	case "ended":
-		l.Ended(args[0], args[1], uint64(number(t, args[2])), args[3])
+		l.Ended(args[0], args[1], uint64(scripter.Number(t, args[2])), args[3])
 	case "demand":
 		l.Demand()
 	case "used":
@@ -61,9 +58,3 @@
 	}
 	return out.String()
 }
-
-func number(t *testing.T, s string) int {
-	n, err := strconv.Atoi(s)
-	assert.NilError(t, err)
-	return n
-}
--- a/internal/bench/soaker/manifests.go
+++ b/internal/bench/soaker/manifests.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/dandeliongrade/dandeliongrade/platform/standin"
 )
@@ -54,7 +53,7 @@
 			case follows:
 				seen, seenIn = version, life
 			case seen == version && seenIn == life:
-				s.ledger.Note(time.Now(), Backward, "%s followed version %d and does not any more", gateway, version)
+				s.note(Backward, "%s followed version %d and does not any more", gateway, version)
 			}
 		}
 		sleep(ctx, watchPause)
@@ -65,7 +64,7 @@
 func (s *soak) checkManifests(ctx context.Context) {
 	for _, g := range s.settings.Size.gateways() {
 		if follows, _ := s.follows(ctx, g, s.newest()); !follows && ctx.Err() == nil {
-			s.ledger.Note(time.Now(), Stale, "%s does not follow version %d after %s of calm", g, s.newest(), recoverWithin)
+			s.note(Stale, "%s does not follow version %d after %s of calm", g, s.newest(), recoverWithin)
 		}
 	}
 }
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -125,6 +125,11 @@
 	sleep(ctx, time.Until(begin.Add(s.settings.Length-calm)))
 }
 
+// note notes a breach that is seen now.
+func (s *soak) note(rule Rule, format string, args ...any) {
+	s.ledger.Note(time.Now(), rule, format, args...)
+}
+
 // calmDown gives service the time to come back, and then demands that it is there.
 func (s *soak) calmDown(ctx context.Context) {
 	fmt.Fprintf(s.settings.Out, "%s calm\n", time.Now().Format("15:04:05.000"))
--- a/internal/gateway/runner/links.go
+++ b/internal/gateway/runner/links.go
@@ -40,7 +40,7 @@
 	}
 	r.agents[hello.Agent] = link
 	r.coordinator.AgentLinked(r.clock(), hello.Agent, hello.Incarnation)
-	r.sendOn(link, &lister.Directory{Gateways: r.lister.List()})
+	r.sendOn(link, &lister.Directory{Gateways: r.finder.Known()})
 	r.mu.Unlock()
 	r.log.Info("agent_linked", zap.String("agent", string(hello.Agent)), zap.Uint64("incarnation", uint64(hello.Incarnation)))
 	err := link.Run(ctx, func(message any) error { return r.handleAgent(hello.Agent, link, message) })
@@ -97,13 +97,13 @@
 	link, welcome, err := connector.Dial(ctx, r.edges.Dial, p.Link, r.settings.Timing, announcer.Hello{Entry: r.settings.Name})
 	if err != nil {
 		if ctx.Err() == nil {
-			r.unreached(p.Link)
+			r.finder.Unreached(p.Link)
 		}
 		return false
 	}
 	r.log.Info("gateway_linked", zap.String("gateway", string(welcome.Entry)))
-	r.keep(p.Link)
-	defer r.release(p.Link)
+	r.finder.Linked(p.Link)
+	defer r.finder.Unlinked(p.Link)
 	r.greet(link)
 	err = link.Run(ctx, r.handlePeer)
 	r.part(link)
@@ -116,7 +116,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.peers[link] = true
-	r.sendOn(link, &lister.Directory{Gateways: r.lister.List()})
+	r.sendOn(link, &lister.Directory{Gateways: r.finder.Known()})
 	if m := r.router.Manifest(); m.Version > 0 {
 		r.sendOn(link, &m)
 	}
@@ -128,28 +128,6 @@
 	delete(r.peers, link)
 }
 
-// keep remembers an address while there is a link to it.
-func (r *Runner) keep(addr netip.AddrPort) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lister.Keep(r.clock(), addr)
-}
-
-// unreached notes that an address could not be dialled, and lets another one be chosen.
-func (r *Runner) unreached(addr netip.AddrPort) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lister.Failed(r.clock(), addr) {
-		r.want()
-	}
-}
-
-func (r *Runner) release(addr netip.AddrPort) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lister.Release(r.clock(), addr)
-}
-
 func (r *Runner) handlePeer(message any) error {
 	r.counters.received.Inc()
 	switch m := message.(type) {
@@ -168,12 +146,11 @@
 func (r *Runner) learn(addrs []netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.lister.Add(r.clock(), addrs...) {
+	if !r.finder.Learn(addrs...) {
 		return
 	}
-	r.log.Info("gateways_learned", zap.Int("known", len(r.lister.List())))
-	r.want()
-	directory := &lister.Directory{Gateways: r.lister.List()}
+	r.log.Info("gateways_learned", zap.Int("known", len(r.finder.Known())))
+	directory := &lister.Directory{Gateways: r.finder.Known()}
 	for _, link := range r.agents {
 		r.sendOn(link, directory)
 	}
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -17,9 +17,8 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/core/supervisor"
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
 	"github.com/dandeliongrade/dandeliongrade/internal/manifest/router"
-	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
-	"github.com/dandeliongrade/dandeliongrade/internal/member/lister"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/finder"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/coordinator"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
@@ -29,10 +28,6 @@
 // the permits' length.
 const tickPause = 25 * time.Millisecond
 
-// redialPause bounds the pause before a gateway is dialled anew. While one is away its
-// callers wait, and a dial costs one packet.
-const redialPause = 150 * time.Millisecond
-
 // Store is the platform's table store.
 type Store interface {
 	// Announce stores the link address of this gateway.
@@ -58,19 +53,18 @@
 	clock       identifier.Clock
 	edges       Edges
 	life        *drainer.Drainer
+	finder      *finder.Finder
 	incarnation identifier.Incarnation
 	counters    counters
 
 	mu          sync.Mutex
 	coordinator coordinator.Coordinator
 	router      router.Router
-	lister      lister.Lister
 	// agents are the links that agents dialled, peers those that other gateways
 	// dialled, dialled those to other gateways.
 	agents  map[identifier.Agent]*connector.Link
 	peers   map[*connector.Link]bool
 	callers map[specifier.JobID]chan coordinator.Answer
-	wanted  chan []announcer.Peer
 	// manifested is closed when the first manifest is in force.
 	manifested chan struct{}
 	// idle holds a token after the last open job was answered.
@@ -86,18 +80,15 @@
 		edges:       edges,
 		incarnation: identifier.NextIncarnation(clock(), 0),
 		counters:    newCounters(),
+		finder:      finder.New(string(settings.Name), settings.LinkAddr(), clock, settings.SeedLinks()...),
 		coordinator: coordinator.Coordinator{Zone: string(settings.DataCentre)},
 		agents:      make(map[identifier.Agent]*connector.Link),
 		peers:       make(map[*connector.Link]bool),
 		callers:     make(map[specifier.JobID]chan coordinator.Answer),
-		wanted:      make(chan []announcer.Peer, 1),
 		manifested:  make(chan struct{}),
 		idle:        make(chan struct{}, 1),
 	}
 	r.life = drainer.New(func(s drainer.Stage) { log.Info("stage", zap.String("stage", string(s))) })
-	r.lister.Keep(clock(), settings.LinkAddr())
-	r.lister.Keep(clock(), settings.SeedLinks()...)
-	r.want()
 	return r
 }
 
@@ -110,7 +101,7 @@
 	wait := supervisor.Start(
 		func() { r.tick(background) },
 		func() { connector.Serve(background, link, r.accept) },
-		func() { connector.Keep(background, r.wanted, redialPause, r.session) },
+		func() { r.finder.Run(background, r.session) },
 		// A call to the store that waits for a change cannot be broken off, so these end
 		// with the signal to stop. Other gateways tell of changes meanwhile.
 		func() { r.announce(ctx) },
@@ -139,10 +130,8 @@
 			r.mu.Lock()
 			now := r.clock()
 			r.perform(r.coordinator.Tick(now))
-			if r.lister.Expire(now) {
-				r.want()
-			}
 			r.mu.Unlock()
+			r.finder.Expire()
 		case <-ctx.Done():
 			return
 		}
@@ -193,18 +182,3 @@
 		r.log.Error("send_failed", logger.Error(err))
 	}
 }
-
-// want passes the known gateways to the task that dials them.
-func (r *Runner) want() {
-	var peers []announcer.Peer
-	for _, addr := range r.lister.Choose(r.clock(), string(r.settings.Name)) {
-		if addr != r.settings.LinkAddr() {
-			peers = append(peers, announcer.Peer{Link: addr})
-		}
-	}
-	select {
-	case <-r.wanted:
-	default:
-	}
-	r.wanted <- peers
-}
--- a/internal/gateway/runner/serve.go
+++ b/internal/gateway/runner/serve.go
@@ -135,7 +135,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.settings.Grace = next.Grace
-	if r.lister.Add(r.clock(), next.SeedLinks()...) {
-		r.want()
-	}
+	r.finder.Learn(next.SeedLinks()...)
 }
--- a/internal/member/lister/lister_test.go
+++ b/internal/member/lister/lister_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"strconv"
 	"testing"
 	"time"
 
@@ -28,9 +27,7 @@
 func step(t *testing.T, l *Lister, now time.Time, words []string) string {
 	switch words[0] {
 	case "many":
-		n, err := strconv.Atoi(words[1])
-		assert.NilError(t, err)
-		for i := range n {
+		for i := range scripter.Number(t, words[1]) {
 			l.Add(now, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 1))
 		}
 		return ""
--- a/internal/sidecar/runner/links.go
+++ b/internal/sidecar/runner/links.go
@@ -22,15 +22,15 @@
 	link, welcome, err := connector.Dial(ctx, r.edges.Dial, p.Link, r.settings.Timing, hello)
 	if err != nil {
 		if ctx.Err() == nil {
-			r.unreached(p.Link)
+			r.finder.Unreached(p.Link)
 		}
 		return false
 	}
 	entry := welcome.Entry
 	link.Beat = func() any { return r.askPermit(entry) }
 	r.link(entry, welcome.Incarnation, link)
-	r.keep(p.Link)
-	defer r.release(p.Link)
+	r.finder.Linked(p.Link)
+	defer r.finder.Unlinked(p.Link)
 	err = link.Run(ctx, func(message any) error { return r.handle(entry, link, message) })
 	r.unlink(entry, link)
 	r.log.Info("gateway_lost", zap.String("gateway", string(entry)), logger.Error(err))
@@ -60,28 +60,6 @@
 	r.executor.Unlinked(entry)
 }
 
-// keep remembers an address while there is a link to it.
-func (r *Runner) keep(addr netip.AddrPort) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lister.Keep(r.clock(), addr)
-}
-
-// unreached notes that an address could not be dialled, and lets another one be chosen.
-func (r *Runner) unreached(addr netip.AddrPort) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lister.Failed(r.clock(), addr) {
-		r.want()
-	}
-}
-
-func (r *Runner) release(addr netip.AddrPort) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lister.Release(r.clock(), addr)
-}
-
 // askPermit is the heartbeat of a link.
 func (r *Runner) askPermit(entry identifier.Entry) any {
 	r.mu.Lock()
@@ -111,18 +89,17 @@
 	case *executor.Want:
 		r.perform(r.executor.Want(from, m))
 	case *lister.Directory:
-		r.learn(now, m.Gateways)
+		r.learn(m.Gateways)
 	default:
 		return &connector.UnexpectedError{Message: message}
 	}
 	return nil
 }
 
-// learn takes addresses of gateways. The lock is held.
-func (r *Runner) learn(now time.Time, addrs []netip.AddrPort) {
-	if r.lister.Add(now, addrs...) {
-		r.log.Info("gateways_learned", zap.Int("known", len(r.lister.List())))
-		r.want()
+// learn takes addresses of gateways.
+func (r *Runner) learn(addrs []netip.AddrPort) {
+	if r.finder.Learn(addrs...) {
+		r.log.Info("gateways_learned", zap.Int("known", len(r.finder.Known())))
 	}
 }
 
@@ -141,9 +118,7 @@
 			if err != nil && ctx.Err() == nil {
 				r.log.Warn("gateways_unread", logger.Error(err))
 			}
-			r.mu.Lock()
-			r.learn(r.clock(), addrs)
-			r.mu.Unlock()
+			r.learn(addrs)
 		}
 		select {
 		case <-ticker.C:
--- a/internal/sidecar/runner/runner.go
+++ b/internal/sidecar/runner/runner.go
@@ -17,9 +17,8 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/core/supervisor"
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
-	"github.com/dandeliongrade/dandeliongrade/internal/member/announcer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
-	"github.com/dandeliongrade/dandeliongrade/internal/member/lister"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/finder"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
 )
@@ -27,10 +26,6 @@
 // tickPause is the time between two looks at permits. It is short against their length.
 const tickPause = 25 * time.Millisecond
 
-// redialPause bounds the pause before a gateway is dialled anew. While one is away its
-// callers wait, and a dial costs one packet.
-const redialPause = 150 * time.Millisecond
-
 // Worker is the worker on this machine.
 type Worker interface {
 	Begin(ctx context.Context, b executor.Begin) executor.Reply
@@ -62,14 +57,13 @@
 	clock       identifier.Clock
 	edges       Edges
 	life        *drainer.Drainer
+	finder      *finder.Finder
 	incarnation identifier.Incarnation
 	counters    counters
 
 	mu       sync.Mutex
 	executor executor.Executor
-	lister   lister.Lister
 	links    map[identifier.Entry]*connector.Link
-	wanted   chan []announcer.Peer
 	// look holds a token when a hold should be sent at once.
 	look chan struct{}
 	// reported holds a token when the worker's report has changed.
@@ -108,16 +102,14 @@
 		edges:       edges,
 		incarnation: incarnation,
 		counters:    newCounters(),
+		finder:      finder.New(string(settings.Name), netip.AddrPort{}, clock, settings.SeedLinks()...),
 		executor:    executor.Executor{Fence: uint64(incarnation)},
 		links:       make(map[identifier.Entry]*connector.Link),
-		wanted:      make(chan []announcer.Peer, 1),
 		look:        make(chan struct{}, 1),
 		reported:    make(chan struct{}, 1),
 		ended:       make(chan struct{}),
 	}
 	r.life = drainer.New(func(s drainer.Stage) { log.Info("stage", zap.String("stage", string(s))) })
-	r.lister.Keep(clock(), settings.SeedLinks()...)
-	r.want()
 	return r
 }
 
@@ -129,7 +121,7 @@
 	wait := supervisor.Start(
 		func() { r.tick(background) },
 		func() { r.hold(background) },
-		func() { connector.Keep(background, r.wanted, redialPause, r.session) },
+		func() { r.finder.Run(background, r.session) },
 		func() { r.find(background) },
 		func() { r.remember(background) },
 	)
@@ -202,10 +194,8 @@
 			r.mu.Lock()
 			now := r.clock()
 			r.perform(r.executor.Tick(now))
-			if r.lister.Expire(now) {
-				r.want()
-			}
 			r.mu.Unlock()
+			r.finder.Expire()
 		case <-ctx.Done():
 			return
 		}
@@ -218,16 +208,3 @@
 	default:
 	}
 }
-
-// want passes the known gateways to the task that dials them.
-func (r *Runner) want() {
-	var peers []announcer.Peer
-	for _, addr := range r.lister.Choose(r.clock(), string(r.settings.Name)) {
-		peers = append(peers, announcer.Peer{Link: addr})
-	}
-	select {
-	case <-r.wanted:
-	default:
-	}
-	r.wanted <- peers
-}
--- a/internal/sidecar/runner/serve.go
+++ b/internal/sidecar/runner/serve.go
@@ -70,7 +70,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.settings.Grace = next.Grace
-	if r.lister.Add(r.clock(), next.SeedLinks()...) {
-		r.want()
-	}
+	r.finder.Learn(next.SeedLinks()...)
 }
--- a/internal/transient/coordinator/coordinator_test.go
+++ b/internal/transient/coordinator/coordinator_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"github.com/dandeliongrade/dandeliongrade/internal/bench/scripter"
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
@@ -62,7 +60,7 @@
 	case "stop":
 		effects = d.c.Stop(now)
 	case "link":
-		d.c.AgentLinked(now, agent, identifier.Incarnation(atoi(t, args[1])))
+		d.c.AgentLinked(now, agent, identifier.Incarnation(scripter.Number(t, args[1])))
 	case "lose":
 		d.c.AgentLost(agent)
 	case "attach":
@@ -70,7 +68,7 @@
 	case "status":
 		effects = d.c.Status(now, agent, readStatus(t, args, options))
 	case "load":
-		effects = d.c.Load(now, agent, specifier.Resources{CPU: atoi(t, args[1])})
+		effects = d.c.Load(now, agent, specifier.Resources{CPU: scripter.Number(t, args[1])})
 	case "ask":
 		d.sequence++
 		effects = d.c.AskPermit(now, agent, &executor.AskPermit{Sequence: d.sequence})
@@ -122,7 +120,7 @@
 		run, known := d.runs[task]
 		if !known {
 			job, index, _ := strings.Cut(task, "#")
-			run = executor.Run{Job: specifier.JobID(job), Index: atoi(t, index), Number: 1}
+			run = executor.Run{Job: specifier.JobID(job), Index: scripter.Number(t, index), Number: 1}
 		}
 		m.Runs = append(m.Runs, run)
 	}
@@ -141,7 +139,7 @@
 		Stalled:   stalled,
 		Service:   "counter",
 		Labels:    options["label"],
-		Capacity:  specifier.Resources{CPU: atoi(t, args[1]), Memory: 1 << 20},
+		Capacity:  specifier.Resources{CPU: scripter.Number(t, args[1]), Memory: 1 << 20},
 	}
 }
 
@@ -157,13 +155,13 @@
 		Queue: specifier.Queue{
 			Name:      or("queue", "peek"),
 			Service:   "counter",
-			Priority:  atoi(t, or("priority", "0")),
-			Attempts:  atoi(t, or("attempts", "2")),
+			Priority:  scripter.Number(t, or("priority", "0")),
+			Attempts:  scripter.Number(t, or("attempts", "2")),
 			Stretch:   1.6,
 			Objective: 60 * time.Millisecond,
 		},
-		Tasks:    atoi(t, args[1]),
-		Demand:   specifier.Resources{CPU: atoi(t, or("cpu", "1000"))},
+		Tasks:    scripter.Number(t, args[1]),
+		Demand:   specifier.Resources{CPU: scripter.Number(t, or("cpu", "1000"))},
 		Estimate: scripter.Duration(t, or("estimate", "100ms")),
 		Budget:   scripter.Duration(t, or("budget", "1500ms")),
 		Rack:     first(options["rack"]),
@@ -207,9 +205,3 @@
 	t.Fatalf("no such end: %s", word)
 	return 0
 }
-
-func atoi(t *testing.T, s string) int {
-	n, err := strconv.Atoi(s)
-	assert.NilError(t, err)
-	return n
-}
--- a/internal/transient/executor/executor_test.go
+++ b/internal/transient/executor/executor_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"github.com/dandeliongrade/dandeliongrade/internal/bench/scripter"
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
@@ -60,7 +57,7 @@
 	case "tick":
 		effects = d.x.Tick(now)
 	case "link":
-		effects = d.x.Linked(now, entry, identifier.Incarnation(atoi(t, args[1])))
+		effects = d.x.Linked(now, entry, identifier.Incarnation(scripter.Number(t, args[1])))
 	case "unlink":
 		d.x.Unlinked(entry)
 	case "ask":
@@ -68,11 +65,11 @@
 	case "permit":
 		d.x.Permit(entry, &Permit{Sequence: d.asked[entry]})
 	case "want":
-		effects = d.x.Want(entry, &Want{Waiting: true, Priority: atoi(t, args[1])})
+		effects = d.x.Want(entry, &Want{Waiting: true, Priority: scripter.Number(t, args[1])})
 	case "content":
 		effects = d.x.Want(entry, &Want{})
 	case "start":
-		effects = d.x.Start(now, entry, &Start{Run: readRun(t, args[1]), Service: "counter", Demand: specifier.Resources{CPU: atoi(t, args[2])}})
+		effects = d.x.Start(now, entry, &Start{Run: readRun(t, args[1]), Service: "counter", Demand: specifier.Resources{CPU: scripter.Number(t, args[2])}})
 	case "stop":
 		effects = d.x.Stop(now, entry, &Stop{Run: readRun(t, args[1])})
 	case "begun":
@@ -98,8 +95,8 @@
 
 func readReport(t *testing.T, args []string, sequence uint64) Report {
 	return Report{
-		Life: Life{Worker: "w", Born: time.UnixMilli(int64(atoi(t, args[0])))}, Service: "counter", Draining: args[2] == "draining",
-		Capacity: specifier.Resources{CPU: atoi(t, args[1])}, Sequence: sequence,
+		Life: Life{Worker: "w", Born: time.UnixMilli(int64(scripter.Number(t, args[0])))}, Service: "counter", Draining: args[2] == "draining",
+		Capacity: specifier.Resources{CPU: scripter.Number(t, args[1])}, Sequence: sequence,
 	}
 }
 
@@ -159,12 +156,12 @@
 			name, percent, listed := strings.Cut(w, "%")
 			r := Running{Run: readRun(t, name)}
 			if listed {
-				r.Percent = atoi(t, percent)
+				r.Percent = scripter.Number(t, percent)
 			}
 			held.Running = append(held.Running, r)
 			continue
 		}
-		held.Ended = append(held.Ended, WorkerEnd{Number: int64(atoi(t, parts[0])), Run: readRun(t, parts[1]), How: readHow(t, parts[2])})
+		held.Ended = append(held.Ended, WorkerEnd{Number: int64(scripter.Number(t, parts[0])), Run: readRun(t, parts[1]), How: readHow(t, parts[2])})
 	}
 	return held
 }
@@ -172,7 +169,7 @@
 func readRun(t *testing.T, word string) Run {
 	job, rest, _ := strings.Cut(word, "#")
 	index, number, _ := strings.Cut(rest, "@")
-	return Run{Job: specifier.JobID(job), Index: atoi(t, index), Number: uint64(atoi(t, number))}
+	return Run{Job: specifier.JobID(job), Index: scripter.Number(t, index), Number: uint64(scripter.Number(t, number))}
 }
 
 func readReply(t *testing.T, word string) Reply {
@@ -194,9 +191,3 @@
 	t.Fatalf("no such end: %s", word)
 	return 0
 }
-
-func atoi(t *testing.T, s string) int {
-	n, err := strconv.Atoi(s)
-	assert.NilError(t, err)
-	return n
-}
