Log the end of a run also while its gateway is not linked

Cause: the line run_ended was written with the message to the gateway, and there is none while the link is down. In tracing a soak, the ends of three runs at a sidecar that had lost its gateway were missing from the log, and had to be worked out from the gateway's.

--- a/internal/sidecar/runner/orders.go
+++ b/internal/sidecar/runner/orders.go
@@ -16,6 +16,8 @@
 		switch e := e.(type) {
 		case executor.Tell:
 			r.tell(&e)
+		case executor.Defer:
+			r.logEnd(e.To, &e.Ended)
 		case executor.Begin:
 			r.counters.starts.Inc()
 			r.order(func() { r.begin(e) })
--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -120,7 +120,7 @@
 	stopInFlight           bool
 }
 
-// Effect is something that the process has to do: a Tell, Begin, Halt or Look.
+// Effect is something that the process has to do: a Tell, Defer, Begin, Halt or Look.
 type Effect interface{ effect() }
 
 // Tell sends a message to a gateway.
@@ -129,6 +129,12 @@
 	Message any
 }
 
+// Defer notes an end that its gateway learns of with its next link, if that comes soon.
+type Defer struct {
+	To    identifier.Entry
+	Ended Ended
+}
+
 // Begin orders the worker to start a run. Its end is given to Begun.
 type Begin struct {
 	Life  Life
@@ -149,6 +155,7 @@
 type Look struct{}
 
 func (Tell) effect()  {}
+func (Defer) effect() {}
 func (Begin) effect() {}
 func (Halt) effect()  {}
 func (Look) effect()  {}
@@ -333,7 +340,7 @@
 	}
 	o.ends = append(o.ends, pastEnd{now, ended})
 	if !o.linked {
-		return nil
+		return []Effect{Defer{entry, ended}}
 	}
 	ended.Others = x.tellOthers(o)
 	return []Effect{Tell{entry, &ended}}
--- a/internal/transient/executor/executor_test.go
+++ b/internal/transient/executor/executor_test.go
@@ -106,6 +106,8 @@
 		switch e := e.(type) {
 		case Tell:
 			fmt.Fprintf(&out, "%s: %s\n", e.To, showMessage(e.Message))
+		case Defer:
+			fmt.Fprintf(&out, "%s later: %s\n", e.To, showMessage(&e.Ended))
 		case Begin:
 			if d.begins == nil {
 				d.begins = make(map[Run]Begin)
