Ask for permits only where there are runs, and link by data centre

Cause: every sidecar had links to sixteen or more gateways (all to the three seeds, whose links never closed) and asked ten times a second for a permit on each: some 77,000 messages a second in an idle cell of 55 gateways and 240 sidecars, four of five across data centres.

Change: a start carries a permit. It refers to the last request of the agent and says how long that request has been at the gateway, so that a start delivered late is still refused. Requests go out once a second on an idle link, and when there are runs, once the permit is 100 ms old. Silence is judged by the coordinator and the executor while there are runs (400 ms and 250 ms without an answer), by the link after 2.5 s otherwise. Of more than sixteen gateways a process links to five in its data centre and three elsewhere; links that are needed no longer are released, and sidecars dial the seeds only if the store does not help. Gateways pass on what is new, not the whole directory.

--- a/internal/config/loader/discovery.go
+++ b/internal/config/loader/discovery.go
@@ -36,9 +36,8 @@
 	return links
 }
 
-// transientTiming returns the default timing of links that carry transient jobs.
-// Heartbeats renew a permit several times before it expires, and a silent link is closed
-// before the permit expires.
+// transientTiming returns the default timing of links that carry transient jobs. It applies
+// to idle links; while there are runs, the agent requests permits at shorter intervals.
 func transientTiming() connector.Timing {
-	return connector.Timing{HeartbeatInterval: 100 * time.Millisecond, SilenceTimeout: 400 * time.Millisecond}
+	return connector.Timing{HeartbeatInterval: time.Second, SilenceTimeout: 2500 * time.Millisecond, ResponseTimeout: 400 * time.Millisecond}
 }
--- a/internal/gateway/runner/follow.go
+++ b/internal/gateway/runner/follow.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dandeliongrade/dandeliongrade/internal/member/selector"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 )
 
@@ -21,10 +22,10 @@
 	maxRetryPause   = time.Second
 )
 
-// announce stores the link address of this gateway. It retries until that succeeds.
+// announce stores the address and the data centre of this gateway. It retries until that succeeds.
 func (r *Runner) announce(ctx context.Context) {
 	r.pollStore(ctx, "announce", func(ctx context.Context) (bool, error) {
-		err := r.deps.Store.Announce(ctx, r.settings.Name, r.settings.LinkAddr())
+		err := r.deps.Store.Announce(ctx, r.settings.Name, selector.Gateway{Link: r.settings.LinkAddr(), DataCentre: r.settings.DataCentre})
 		return err == nil, err
 	})
 }
@@ -50,7 +51,7 @@
 func (r *Runner) followGateways(ctx context.Context) {
 	position := uint64(0)
 	r.pollStore(ctx, "read_gateways", func(ctx context.Context) (bool, error) {
-		addrs, skipped, version, err := r.deps.Store.Gateways(ctx, position, longPollTimeout)
+		gateways, skipped, version, err := r.deps.Store.Gateways(ctx, position, longPollTimeout)
 		position = version
 		if err != nil {
 			position = 0
@@ -59,7 +60,7 @@
 		if skipped > 0 {
 			r.log.Warn("rows_skipped", zap.Int("rows", skipped))
 		}
-		r.learnGateways(addrs)
+		r.learnGateways(gateways)
 		return false, nil
 	})
 }
--- a/internal/gateway/runner/links.go
+++ b/internal/gateway/runner/links.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/netip"
 
 	"go.uber.org/zap"
 
@@ -77,6 +76,8 @@
 		r.perform(r.coordinator.HandleLoad(now, agent, m.UsedByOthers))
 	case *executor.PermitRequest:
 		r.perform(r.coordinator.HandlePermitRequest(now, agent, m))
+	case *executor.Release:
+		r.perform(r.coordinator.HandleRelease(now, agent))
 	case *executor.Ended:
 		r.perform(r.coordinator.HandleEnded(now, agent, m))
 	default:
@@ -148,16 +149,17 @@
 	return nil
 }
 
-// learnGateways adds addresses of gateways. If one of them is new, it sends the whole
-// directory to all agents and gateways that are linked.
-func (r *Runner) learnGateways(addrs []netip.AddrPort) {
+// learnGateways adds gateways. It sends the new ones to all agents and gateways that are
+// linked.
+func (r *Runner) learnGateways(gateways []selector.Gateway) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.linker.Learn(addrs...) {
+	added := r.linker.Learn(gateways...)
+	if len(added) == 0 {
 		return
 	}
-	r.log.Info("gateways_learned", zap.Int("known", len(r.linker.Known())))
-	directory := &selector.Directory{Gateways: r.linker.Known()}
+	r.log.Info("gateways_learned", zap.Int("added", len(added)), zap.Int("known", len(r.linker.Known())))
+	directory := &selector.Directory{Gateways: added}
 	for _, link := range r.agentLinks {
 		r.send(link, directory)
 	}
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -19,6 +18,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/manifest/router"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/linker"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/selector"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/coordinator"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
@@ -30,12 +30,12 @@
 
 // Store reads and writes the gateway's rows in the platform's table store.
 type Store interface {
-	// Announce stores the link address of the named gateway.
-	Announce(ctx context.Context, name identifier.Entry, link netip.AddrPort) error
-	// Gateways returns the addresses stored after a version, waiting up to wait for a
-	// change, or all addresses at once if after is zero. It also returns the number of
+	// Announce stores the address and the data centre of the named gateway.
+	Announce(ctx context.Context, name identifier.Entry, gateway selector.Gateway) error
+	// Gateways returns the gateways stored after a version, waiting up to wait for a
+	// change, or all gateways at once if after is zero. It also returns the number of
 	// rows skipped because they are invalid, and the version to continue from.
-	Gateways(ctx context.Context, after uint64, wait time.Duration) (addrs []netip.AddrPort, skipped int, version uint64, err error)
+	Gateways(ctx context.Context, after uint64, wait time.Duration) (gateways []selector.Gateway, skipped int, version uint64, err error)
 	// Manifest returns the latest manifest stored after a version, waiting up to wait for
 	// one, or the current manifest at once if after is zero. It also returns the version to
 	// continue from.
@@ -83,7 +83,7 @@
 		deps:          deps,
 		incarnation:   identifier.NextIncarnation(clock(), 0),
 		counters:      newCounters(),
-		linker:        linker.New(string(settings.Name), settings.LinkAddr(), clock, settings.SeedLinkAddrs()...),
+		linker:        linker.New(selector.Process{Name: string(settings.Name), DataCentre: settings.DataCentre}, settings.LinkAddr(), clock),
 		coordinator:   coordinator.Coordinator{Zone: string(settings.DataCentre)},
 		agentLinks:    make(map[identifier.Agent]*connector.Link),
 		peerLinks:     make(map[*connector.Link]bool),
@@ -91,6 +91,7 @@
 		firstManifest: make(chan struct{}),
 		idle:          make(chan struct{}, 1),
 	}
+	r.linker.LearnSeeds(settings.SeedLinkAddrs()...)
 	r.lifecycle = drainer.New(func(s drainer.Stage) { log.Info("stage", zap.String("stage", string(s))) })
 	return r
 }
@@ -150,6 +151,9 @@
 		switch e := e.(type) {
 		case coordinator.Send:
 			r.send(r.agentLinks[e.To], e.Message)
+		case coordinator.CloseLink:
+			r.log.Info("closing_link", zap.String("agent", string(e.To)), zap.String("cause", e.Cause))
+			r.agentLinks[e.To].Close()
 		case coordinator.Reply:
 			r.reply(&e)
 		case coordinator.LogEvent:
--- a/internal/gateway/runner/serve.go
+++ b/internal/gateway/runner/serve.go
@@ -140,5 +140,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.settings.Grace = next.Grace
-	r.linker.Learn(next.SeedLinkAddrs()...)
+	r.linker.LearnSeeds(next.SeedLinkAddrs()...)
 }
--- a/internal/link/connector/handshake.go
+++ b/internal/link/connector/handshake.go
@@ -47,7 +47,7 @@
 // Dial connects to a link port, sends hello and waits for the peer's welcome. It fails
 // if the peer has another protocol version.
 func Dial(ctx context.Context, dial DialFunc, to netip.AddrPort, timing Timing, hello registrar.Hello) (*Link, registrar.Welcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, timing.SilenceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timing.responseTimeout())
 	defer cancel()
 	conn, err := dial(ctx, to)
 	if err != nil {
@@ -71,10 +71,10 @@
 	return NewLink(conn, timing), *welcome, nil
 }
 
-// sendHello sends a hello and returns the reply. Both must complete within the silence
+// sendHello sends a hello and returns the reply. Both must complete within the response
 // timeout.
 func sendHello(conn net.Conn, timing Timing, hello any) (any, error) {
-	if err := conn.SetDeadline(time.Now().Add(timing.SilenceTimeout)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(timing.responseTimeout())); err != nil {
 		return nil, err
 	}
 	if err := writeMessage(conn, hello); err != nil {
@@ -91,7 +91,7 @@
 // is sent before the versions are compared, so that a peer with another version fails
 // with a VersionError too.
 func Accept(conn net.Conn, timing Timing, welcome registrar.Welcome) (*Link, registrar.Hello, error) {
-	if err := conn.SetDeadline(time.Now().Add(timing.SilenceTimeout)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(timing.responseTimeout())); err != nil {
 		return nil, registrar.Hello{}, err
 	}
 	message, err := readMessage(conn)
--- a/internal/link/connector/link.go
+++ b/internal/link/connector/link.go
@@ -22,8 +22,18 @@
 	// HeartbeatInterval is the interval at which heartbeats are sent to the peer.
 	HeartbeatInterval time.Duration
 	// SilenceTimeout is the longest time without a message from the peer; after it, the
-	// connection is closed. It also bounds the handshake and each write.
+	// connection is closed.
 	SilenceTimeout time.Duration
+	// ResponseTimeout bounds the handshake and each write. Zero stands for SilenceTimeout.
+	ResponseTimeout time.Duration
+}
+
+// responseTimeout returns the bound on the handshake and on each write.
+func (t *Timing) responseTimeout() time.Duration {
+	if t.ResponseTimeout > 0 {
+		return t.ResponseTimeout
+	}
+	return t.SilenceTimeout
 }
 
 // maxPendingBytes bounds the bytes queued for writing. A peer that lets so much
@@ -156,7 +166,7 @@
 		case <-l.wake:
 			wrote = true
 			batch = l.takePending(batch)
-			_ = l.conn.SetWriteDeadline(time.Now().Add(l.timing.SilenceTimeout))
+			_ = l.conn.SetWriteDeadline(time.Now().Add(l.timing.responseTimeout()))
 			if _, err := l.conn.Write(batch); err != nil {
 				_ = l.conn.Close()
 				done <- errors.Wrap(err, "write to a link")
--- a/internal/link/encoder/encoder.go
+++ b/internal/link/encoder/encoder.go
@@ -64,6 +64,7 @@
 	37: reflect.TypeFor[executor.Permit](),
 	38: reflect.TypeFor[router.Manifest](),
 	39: reflect.TypeFor[selector.Directory](),
+	40: reflect.TypeFor[executor.Release](),
 }
 
 // typeCodes is the inverse of messageTypes.
--- a/internal/member/linker/linker.go
+++ b/internal/member/linker/linker.go
@@ -20,9 +20,9 @@
 
 // Linker holds the gateways that a process knows. It is safe for concurrent use.
 type Linker struct {
-	name  string
-	self  netip.AddrPort
-	clock identifier.Clock
+	process selector.Process
+	self    netip.AddrPort
+	clock   identifier.Clock
 
 	mu       sync.Mutex
 	selector selector.Selector
@@ -30,38 +30,46 @@
 	wanted chan []registrar.Peer
 }
 
-// New returns the linker of the process with the given name. The argument self is its own
-// address if it is a gateway, and invalid otherwise; a gateway announces its own address but
-// does not dial it. The seeds never expire.
-func New(name string, self netip.AddrPort, clock identifier.Clock, seeds ...netip.AddrPort) *Linker {
-	l := &Linker{name: name, self: self, clock: clock, wanted: make(chan []registrar.Peer, 1)}
+// New returns the linker of a process. The argument self is its own address if it is a
+// gateway, and invalid otherwise; a gateway announces its own address but does not dial it.
+func New(process selector.Process, self netip.AddrPort, clock identifier.Clock) *Linker {
+	l := &Linker{process: process, self: self, clock: clock, wanted: make(chan []registrar.Peer, 1)}
 	if self.IsValid() {
-		l.selector.Pin(clock(), self)
+		l.selector.Pin(clock(), selector.Gateway{Link: self, DataCentre: process.DataCentre})
 	}
-	l.selector.Pin(clock(), seeds...)
 	l.choose()
 	return l
 }
 
+// LearnSeeds adds addresses that never expire.
+func (l *Linker) LearnSeeds(seeds ...netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, seed := range seeds {
+		l.selector.Pin(l.clock(), selector.Gateway{Link: seed})
+	}
+	l.choose()
+}
+
 // Run calls session for each chosen gateway, again whenever it returns, until ctx ends. See
 // connector.MaintainLinks.
 func (l *Linker) Run(ctx context.Context, session func(context.Context, registrar.Peer) bool) {
 	connector.MaintainLinks(ctx, l.wanted, maxRedialPause, session)
 }
 
-// Learn adds addresses of gateways, and reports whether one of them is new.
-func (l *Linker) Learn(addrs ...netip.AddrPort) bool {
+// Learn adds gateways, and returns those that are new.
+func (l *Linker) Learn(gateways ...selector.Gateway) []selector.Gateway {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.selector.Add(l.clock(), addrs...) {
-		return false
+	added := l.selector.Add(l.clock(), gateways...)
+	if len(added) > 0 {
+		l.choose()
 	}
-	l.choose()
-	return true
+	return added
 }
 
-// Known returns the addresses of all known gateways, to be passed on to other processes.
-func (l *Linker) Known() []netip.AddrPort {
+// Known returns all known gateways, to be passed on to other processes.
+func (l *Linker) Known() []selector.Gateway {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.selector.List()
@@ -81,14 +89,23 @@
 func (l *Linker) Linked(addr netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.selector.Pin(l.clock(), addr)
+	l.selector.Open(l.clock(), addr)
 }
 
-// Unlinked records the end of a link to an address.
+// Unlinked records the end of a link to an address. It is dialled again if it would be
+// chosen without the link.
 func (l *Linker) Unlinked(addr netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.selector.Unpin(l.clock(), addr)
+	l.selector.Close(l.clock(), addr)
+	l.choose()
+}
+
+// Surplus returns the addresses with links that this process needs no longer.
+func (l *Linker) Surplus() []netip.AddrPort {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.selector.Surplus(l.clock(), l.process)
 }
 
 // DialFailed records that an address could not be dialled, so that another one may be
@@ -104,7 +121,7 @@
 // choose passes the current choice to Run. The caller holds the lock, except in New.
 func (l *Linker) choose() {
 	var peers []registrar.Peer
-	for _, addr := range l.selector.Choose(l.clock(), l.name) {
+	for _, addr := range l.selector.Choose(l.clock(), l.process) {
 		if addr != l.self {
 			peers = append(peers, registrar.Peer{Link: addr})
 		}
--- a/internal/member/selector/choose.go
+++ b/internal/member/selector/choose.go
@@ -7,51 +7,107 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 )
 
 const (
-	// maxLinks limits the gateways to which a process keeps links, so that its load does
-	// not grow with the number of gateways: an idle link carries twenty small messages a
-	// second. With 16 links for each agent, a gateway of a large cell has about a hundred
-	// agents, and an agent loses a sixteenth of its callers when a gateway fails.
-	maxLinks = 16
+	// maxFullMesh is the number of gateways up to which a process is linked to all of them.
+	maxFullMesh = 16
+	// localLinks is the number of links to gateways in the data centre of the process, and
+	// remoteLinks that of links to others, if there are more gateways. Most callers are
+	// served within their data centre; remote links spread a burst in one data centre and
+	// serve the callers of a lost one.
+	localLinks  = 5
+	remoteLinks = 3
 	// failureTTL is how long an address is ranked last after a failed dial.
 	failureTTL = 5 * time.Second
 )
 
-// Choose returns the addresses to which the process of the given name should have links,
-// sorted. These are all known addresses up to maxLinks. Of more, they are the first by a
-// hash of the process name and the address, which spreads the links evenly over the
-// gateways, and all pinned addresses, since runs depend on the open links.
-func (s *Selector) Choose(now time.Time, name string) []netip.AddrPort {
-	addrs := s.List()
-	if len(addrs) <= maxLinks {
-		return addrs
+// Process is the process for which gateways are chosen.
+type Process struct {
+	Name       string
+	DataCentre identifier.DataCentre
+}
+
+// Choose returns the addresses to which a process should have links, sorted. These are all
+// known addresses up to maxFullMesh. Of more, they are the first by a hash of the process
+// name and the address, which spreads the links evenly over the gateways: localLinks in the
+// data centre of the process and remoteLinks elsewhere, or more elsewhere if there are too
+// few. Addresses with an open link are returned too, since runs may depend on it.
+func (s *Selector) Choose(now time.Time, p Process) []netip.AddrPort {
+	chosen := s.best(now, p)
+	for a := range s.open {
+		if !slices.Contains(chosen, a) {
+			chosen = append(chosen, a)
+		}
+	}
+	slices.SortFunc(chosen, netip.AddrPort.Compare)
+	return chosen
+}
+
+// Surplus returns the addresses with an open link that would not be chosen without it, once
+// most of the others have open links.
+func (s *Selector) Surplus(now time.Time, p Process) []netip.AddrPort {
+	best := s.best(now, p)
+	linked := 0
+	for _, a := range best {
+		if s.open[a] > 0 {
+			linked++
+		}
 	}
-	rank := make(map[netip.AddrPort]uint64, len(addrs))
-	for _, a := range addrs {
-		rank[a] = xxhash.Sum64String(name + " " + a.String())
+	if 2*linked <= len(best) {
+		return nil
 	}
-	slices.SortFunc(addrs, func(a, b netip.AddrPort) int {
-		if c := cmp.Compare(s.failedAt(now, a), s.failedAt(now, b)); c != 0 {
-			return c
+	var surplus []netip.AddrPort
+	for a := range s.open {
+		if !slices.Contains(best, a) {
+			surplus = append(surplus, a)
 		}
-		return cmp.Or(cmp.Compare(rank[a], rank[b]), a.Compare(b))
+	}
+	slices.SortFunc(surplus, netip.AddrPort.Compare)
+	return surplus
+}
+
+// best returns the addresses to be chosen whatever links are open.
+func (s *Selector) best(now time.Time, p Process) []netip.AddrPort {
+	gateways := s.List()
+	addrs := make([]netip.AddrPort, 0, len(gateways))
+	if len(gateways) <= maxFullMesh {
+		for _, g := range gateways {
+			addrs = append(addrs, g.Link)
+		}
+		return addrs
+	}
+	rank := make(map[netip.AddrPort]uint64, len(gateways))
+	for _, g := range gateways {
+		rank[g.Link] = xxhash.Sum64String(p.Name + " " + g.Link.String())
+	}
+	slices.SortFunc(gateways, func(a, b Gateway) int {
+		return cmp.Or(
+			cmp.Compare(s.failedAt(now, a.Link), s.failedAt(now, b.Link)),
+			cmp.Compare(rank[a.Link], rank[b.Link]),
+			a.Link.Compare(b.Link),
+		)
 	})
-	chosen := addrs[:maxLinks:maxLinks]
-	for _, a := range addrs[maxLinks:] {
-		if s.pins[a] > 0 {
-			chosen = append(chosen, a)
+	local := func(g Gateway) bool { return g.DataCentre != "" && g.DataCentre == p.DataCentre }
+	for _, g := range gateways {
+		if len(addrs) < localLinks && local(g) && s.failedAt(now, g.Link) == 0 {
+			addrs = append(addrs, g.Link)
 		}
 	}
-	slices.SortFunc(chosen, netip.AddrPort.Compare)
-	return chosen
+	for _, g := range gateways {
+		if len(addrs) < localLinks+remoteLinks && !local(g) {
+			addrs = append(addrs, g.Link)
+		}
+	}
+	return addrs
 }
 
 // MarkFailed records that an address could not be dialled, and reports whether another
 // one may be chosen in its place.
 func (s *Selector) MarkFailed(now time.Time, addr netip.AddrPort) bool {
-	if len(s.confirmed) <= maxLinks {
+	if len(s.known) <= maxFullMesh {
 		return false
 	}
 	if s.failed == nil {
--- a/internal/sidecar/runner/links.go
+++ b/internal/sidecar/runner/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,8 +28,7 @@
 		return false
 	}
 	gateway := welcome.Entry
-	link.NewHeartbeat = func() any { return r.requestPermit(gateway) }
-	r.addLink(gateway, welcome.Incarnation, link)
+	r.addLink(gateway, p.Link, welcome.Incarnation, link)
 	r.linker.Linked(p.Link)
 	defer r.linker.Unlinked(p.Link)
 	err = link.Run(ctx, func(message any) error { return r.handle(gateway, link, message) })
@@ -37,18 +37,16 @@
 	return true
 }
 
-// addLink registers a new link to a gateway in place of an earlier one, and requests a permit.
-func (r *Runner) addLink(gateway identifier.Entry, incarnation identifier.Incarnation, link *connector.Link) {
+// addLink registers a new link to a gateway in place of an earlier one.
+func (r *Runner) addLink(gateway identifier.Entry, addr netip.AddrPort, incarnation identifier.Incarnation, link *connector.Link) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.log.Info("gateway_linked", zap.String("gateway", string(gateway)), zap.Uint64("incarnation", uint64(incarnation)))
 	if previous := r.links[gateway]; previous != nil {
 		previous.Close()
 	}
-	r.links[gateway] = link
-	now := r.clock()
-	r.perform(r.executor.GatewayLinked(now, gateway, incarnation))
-	r.perform([]executor.Effect{executor.Send{To: gateway, Message: r.executor.RequestPermit(now, gateway)}})
+	r.links[gateway], r.addrs[gateway] = link, addr
+	r.perform(r.executor.GatewayLinked(r.clock(), gateway, incarnation))
 }
 
 // removeLink removes a link that has ended, unless another one has replaced it.
@@ -59,16 +57,10 @@
 		return
 	}
 	delete(r.links, gateway)
+	delete(r.addrs, gateway)
 	r.executor.GatewayUnlinked(gateway)
 }
 
-// requestPermit returns a permit request, which is the heartbeat of a link.
-func (r *Runner) requestPermit(gateway identifier.Entry) any {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.executor.RequestPermit(r.clock(), gateway)
-}
-
 // handle handles one message of a gateway. A message on a link that has been replaced is
 // dropped. The clock is read after the lock is taken, so that a permit that expires during
 // a wait for the lock cannot admit a start.
@@ -98,29 +90,40 @@
 	return nil
 }
 
-// learnGateways adds addresses of gateways to those to link to.
-func (r *Runner) learnGateways(addrs []netip.AddrPort) {
-	if r.linker.Learn(addrs...) {
-		r.log.Info("gateways_learned", zap.Int("known", len(r.linker.Known())))
+// learnGateways adds gateways to those from which links are chosen.
+func (r *Runner) learnGateways(gateways []selector.Gateway) {
+	if added := r.linker.Learn(gateways...); len(added) > 0 {
+		r.log.Info("gateways_learned", zap.Int("added", len(added)))
 	}
 }
 
-// gatewayPollInterval is the time between two reads of the store while no gateway is linked.
-// At this rate a few hundred sidecars stay well below the store's rate limit.
-const gatewayPollInterval = 500 * time.Millisecond
+const (
+	// seedDelay is how long a sidecar waits for the gateways in the store before it links to
+	// the seeds. In a large cell, all sidecars would link to the same few gateways otherwise.
+	seedDelay = 100 * time.Millisecond
+	// gatewayPollInterval is the time between two reads of the store while no gateway is
+	// linked. At this rate a few hundred sidecars stay well below the store's rate limit.
+	gatewayPollInterval = 500 * time.Millisecond
+)
 
-// pollGateways reads the gateways from the store while none is linked. Linked gateways send
-// the addresses of the others.
-func (r *Runner) pollGateways(ctx context.Context) {
+// findGateways reads the gateways from the store while none is linked, and links to the seeds
+// if that does not help. Linked gateways send the addresses of the others.
+func (r *Runner) findGateways(ctx context.Context) {
+	seeds := time.AfterFunc(seedDelay, func() {
+		if r.linkCount() == 0 {
+			r.linker.LearnSeeds(r.settings.SeedLinkAddrs()...)
+		}
+	})
+	defer seeds.Stop()
 	ticker := time.NewTicker(gatewayPollInterval)
 	defer ticker.Stop()
 	for {
 		if r.linkCount() == 0 {
-			addrs, _, _, err := r.deps.Store.Gateways(ctx, 0, 0)
+			gateways, _, _, err := r.deps.Store.Gateways(ctx, 0, 0)
 			if err != nil && ctx.Err() == nil {
 				r.log.Warn("gateways_read_failed", logger.Error(err))
 			}
-			r.learnGateways(addrs)
+			r.learnGateways(gateways)
 		}
 		select {
 		case <-ticker.C:
@@ -130,6 +133,30 @@
 	}
 }
 
+// releaseInterval is the time between two checks for links that are not needed.
+const releaseInterval = time.Second
+
+// releaseLinks asks the gateways of links that are not needed to close them, until ctx ends.
+func (r *Runner) releaseLinks(ctx context.Context) {
+	ticker := time.NewTicker(releaseInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		surplus := r.linker.Surplus()
+		r.mu.Lock()
+		for gateway, addr := range r.addrs {
+			if slices.Contains(surplus, addr) {
+				r.perform(r.executor.ReleaseLink(gateway))
+			}
+		}
+		r.mu.Unlock()
+	}
+}
+
 // linkCount returns the number of linked gateways.
 func (r *Runner) linkCount() int {
 	r.mu.Lock()
--- a/internal/sidecar/runner/orders.go
+++ b/internal/sidecar/runner/orders.go
@@ -16,6 +16,8 @@
 		switch e := e.(type) {
 		case executor.Send:
 			r.send(&e)
+		case executor.CloseLink:
+			r.closeLink(e.To)
 		case executor.DeferEnd:
 			r.logEnd(e.To, &e.Ended)
 		case executor.StartRun:
@@ -44,6 +46,14 @@
 	}
 }
 
+// closeLink closes the link to a gateway that does not answer.
+func (r *Runner) closeLink(gateway identifier.Entry) {
+	if link := r.links[gateway]; link != nil {
+		r.log.Warn("gateway_silent", zap.String("gateway", string(gateway)))
+		link.Close()
+	}
+}
+
 // logEnd counts and logs the end of a run.
 func (r *Runner) logEnd(to identifier.Entry, m *executor.Ended) {
 	r.counters.ends.Inc()
--- a/internal/sidecar/runner/runner.go
+++ b/internal/sidecar/runner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/linker"
+	"github.com/dandeliongrade/dandeliongrade/internal/member/selector"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
 )
@@ -37,10 +38,10 @@
 
 // Store reads and writes the sidecar's rows in the platform's table store.
 type Store interface {
-	// Gateways returns the addresses stored after a version, waiting up to wait for a
-	// change, or all addresses at once if after is zero. It also returns the number of
+	// Gateways returns the gateways stored after a version, waiting up to wait for a
+	// change, or all gateways at once if after is zero. It also returns the number of
 	// rows skipped because they are invalid, and the version to continue from.
-	Gateways(ctx context.Context, after uint64, wait time.Duration) (addrs []netip.AddrPort, skipped int, version uint64, err error)
+	Gateways(ctx context.Context, after uint64, wait time.Duration) (gateways []selector.Gateway, skipped int, version uint64, err error)
 	// SaveWorker stores the latest report of an agent's worker, and LoadWorker returns it.
 	SaveWorker(ctx context.Context, agent identifier.Agent, r executor.WorkerReport) error
 	LoadWorker(ctx context.Context, agent identifier.Agent) (r executor.WorkerReport, found bool, err error)
@@ -67,6 +68,8 @@
 	mu       sync.Mutex
 	executor executor.Executor
 	links    map[identifier.Entry]*connector.Link
+	// addrs holds the addresses of the linked gateways.
+	addrs map[identifier.Entry]netip.AddrPort
 	// holdNow holds a value when the next hold must be sent at once.
 	holdNow chan struct{}
 	// reportChanged holds a value when the worker's report must be stored.
@@ -107,9 +110,10 @@
 		deps:          deps,
 		incarnation:   incarnation,
 		counters:      newCounters(),
-		linker:        linker.New(string(settings.Name), netip.AddrPort{}, clock, settings.SeedLinkAddrs()...),
+		linker:        linker.New(selector.Process{Name: string(settings.Name), DataCentre: settings.DataCentre}, netip.AddrPort{}, clock),
 		executor:      executor.Executor{Fence: uint64(incarnation)},
 		links:         make(map[identifier.Entry]*connector.Link),
+		addrs:         make(map[identifier.Entry]netip.AddrPort),
 		holdNow:       make(chan struct{}, 1),
 		reportChanged: make(chan struct{}, 1),
 		orderDone:     make(chan struct{}),
@@ -127,7 +131,8 @@
 		func() { r.runTicks(background) },
 		func() { r.runHolds(background) },
 		func() { r.linker.Run(background, r.session) },
-		func() { r.pollGateways(background) },
+		func() { r.findGateways(background) },
+		func() { r.releaseLinks(background) },
 		func() { r.persistReports(background) },
 	)
 	if err := r.lifecycle.Ready(); err != nil {
--- a/internal/sidecar/runner/serve.go
+++ b/internal/sidecar/runner/serve.go
@@ -72,5 +72,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.settings.Grace = next.Grace
-	r.linker.Learn(next.SeedLinkAddrs()...)
+	r.linker.LearnSeeds(next.SeedLinkAddrs()...)
 }
--- a/internal/transient/coordinator/agents.go
+++ b/internal/transient/coordinator/agents.go
@@ -15,11 +15,18 @@
 	incarnation identifier.Incarnation
 	linked      bool
 	// attached is set once the agent has sent its Attach message on the present link.
-	attached  bool
+	attached bool
+	// released is set once the agent has asked for the link to be closed.
+	released  bool
 	status    executor.Status
 	lastHeard time.Time
-	// permitSent is when the last permit was sent.
-	permitSent time.Time
+	// lastRequest is the sequence number of the last permit request on the present link, or
+	// zero before the first, and requestedAt is when it arrived.
+	lastRequest uint64
+	requestedAt time.Time
+	// permitSent is when the last permit was sent. busySince is when the first of the
+	// present runs was sent.
+	permitSent, busySince time.Time
 	// used is the sum of the demands of runs. The agent may have a different view while
 	// messages are on their way.
 	used     specifier.Resources
@@ -45,7 +52,7 @@
 		a = &agent{name: name, runs: make(map[executor.RunID]*job)}
 		c.agents[name] = a
 	}
-	a.linked, a.attached, a.lastHeard, a.sentBacklog = true, false, now, executor.Backlog{}
+	a.linked, a.attached, a.released, a.lastRequest, a.lastHeard, a.sentBacklog = true, false, false, 0, now, executor.Backlog{}
 	if a.incarnation != incarnation {
 		a.incarnation = incarnation
 		a.health, a.slowdown = health{}, slowdown{}
@@ -85,7 +92,8 @@
 			effects = append(effects, Send{name, &executor.Stop{Run: run}})
 		}
 	}
-	return append(effects, c.place(now)...)
+	// Tasks are placed with the permit request that follows.
+	return effects
 }
 
 // HandleStatus records the status of an agent's worker.
@@ -134,8 +142,49 @@
 	if a == nil {
 		return nil
 	}
+	a.lastRequest, a.requestedAt = m.Sequence, now
+	permit := a.grantPermit(now)
+	return append([]Effect{Send{name, &permit}}, c.HandleLoad(now, name, m.UsedByOthers)...)
+}
+
+// grantPermit returns a permit that refers to the last request, and must be sent at now.
+func (a *agent) grantPermit(now time.Time) executor.Permit {
 	a.permitSent = now
-	return append([]Effect{Send{name, &executor.Permit{Sequence: m.Sequence}}}, c.HandleLoad(now, name, m.UsedByOthers)...)
+	return executor.Permit{Sequence: a.lastRequest, Age: now.Sub(a.requestedAt)}
+}
+
+// HandleRelease records that an agent needs its link no longer.
+func (c *Coordinator) HandleRelease(now time.Time, name identifier.Agent) []Effect {
+	a := c.agents[name]
+	if a == nil || !a.attached {
+		return nil
+	}
+	a.lastHeard, a.released = now, true
+	return c.closeLinks(now)
+}
+
+// maxSilence is how long an agent with runs may send nothing. It then requests permits, so
+// that its link has failed after this time.
+const maxSilence = 400 * time.Millisecond
+
+// closeLinks closes the links on which agents with runs are silent, and those of agents
+// without runs that have asked for it. After a pause of this process, what the agents have
+// sent meanwhile must be read first.
+func (c *Coordinator) closeLinks(now time.Time) []Effect {
+	if now.Before(c.resumeAt) {
+		return nil
+	}
+	var effects []Effect
+	for _, a := range c.sortedAgents() {
+		switch {
+		case !a.attached:
+		case len(a.runs) == 0 && a.released:
+			effects = append(effects, CloseLink{a.name, "released"})
+		case len(a.runs) > 0 && now.Sub(a.lastHeard) >= maxSilence && now.Sub(a.busySince) >= maxSilence:
+			effects = append(effects, CloseLink{a.name, "agent_silent"})
+		}
+	}
+	return effects
 }
 
 // HandleEnded records the end of a run.
--- a/internal/transient/coordinator/coordinator.go
+++ b/internal/transient/coordinator/coordinator.go
@@ -54,7 +54,7 @@
 	RetryAfter time.Duration
 }
 
-// Effect is an action for the process to carry out: a Send, Reply or LogEvent.
+// Effect is an action for the process to carry out: a Send, CloseLink, Reply or LogEvent.
 type Effect interface{ effect() }
 
 // Send sends a message to an agent.
@@ -63,6 +63,13 @@
 	Message any
 }
 
+// CloseLink closes the link to an agent.
+type CloseLink struct {
+	To identifier.Agent
+	// Cause is the reason, as it is logged.
+	Cause string
+}
+
 // Reply answers the caller of a job.
 type Reply struct {
 	Job    specifier.JobID
@@ -88,9 +95,10 @@
 	SinceHeard time.Duration
 }
 
-func (Send) effect()     {}
-func (Reply) effect()    {}
-func (LogEvent) effect() {}
+func (Send) effect()      {}
+func (CloseLink) effect() {}
+func (Reply) effect()     {}
+func (LogEvent) effect()  {}
 
 // Coordinator holds the jobs of one gateway and what is known of the agents. The zero
 // value is ready for use. A Coordinator is not safe for concurrent use.
@@ -327,6 +335,7 @@
 			effects = append(effects, c.end(now, j, j.abandonedAnswer(), "deadline")...)
 		}
 	}
+	effects = append(effects, c.closeLinks(now)...)
 	effects = append(effects, c.expireRuns(now)...)
 	effects = append(effects, c.checkOverdue(now)...)
 	c.markLate(now)
--- a/internal/transient/coordinator/placement.go
+++ b/internal/transient/coordinator/placement.go
@@ -126,11 +126,14 @@
 	t := &j.tasks[index]
 	t.run = executor.RunID{Job: j.ID, Index: index, Number: c.lastNumber}
 	t.agent, t.startSent, t.active, t.stopping = a.name, now, true, false
+	if len(a.runs) == 0 {
+		a.busySince = now
+	}
 	a.runs[t.run] = j
 	a.used = a.used.Add(j.Demand)
 	j.started, j.lastStart = true, now
 	j.starts++
-	return Send{a.name, &executor.Start{Run: t.run, Service: j.Queue.Service, Spec: j.Spec, Demand: j.Demand}}
+	return Send{a.name, &executor.Start{Run: t.run, Service: j.Queue.Service, Spec: j.Spec, Demand: j.Demand, Permit: a.grantPermit(now)}}
 }
 
 // chooseAgent returns the agent with the lowest cost for a task, or nil if none can take it.
@@ -183,7 +186,7 @@
 
 // admits reports whether a task of the job can be sent to the agent now.
 func (a *agent) admits(now time.Time, j *job) bool {
-	return a.attached && a.status.Available && !a.status.Stalled && a.serves(j) && a.health.admits(now, len(a.runs)) && j.Demand.FitsIn(a.freeCapacity())
+	return a.attached && !a.released && a.lastRequest > 0 && a.status.Available && !a.status.Stalled && a.serves(j) && a.health.admits(now, len(a.runs)) && j.Demand.FitsIn(a.freeCapacity())
 }
 
 // serves reports whether the agent's worker has the service and the label that the job asks
--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -31,6 +31,10 @@
 	// RunsOverAfter is the time after a gateway's last permit to an agent by which all
 	// of the gateway's runs at that agent have ended.
 	RunsOverAfter = PermitDuration + LeaseDuration + ExpiryMargin
+	// RenewInterval is the minimum age of a permit at which an agent with runs requests the
+	// next one, and the time between two such requests. Starts carry permits too, so a
+	// gateway that sends starts more often is not asked.
+	RenewInterval = 100 * time.Millisecond
 )
 
 const (
@@ -38,8 +42,14 @@
 	stopRetryInterval = 100 * time.Millisecond
 	// endRetention is how long the ends of runs are kept for a gateway whose link broke.
 	endRetention = 2 * time.Second
-	// maxPendingRequests limits the unanswered permit requests kept for each gateway.
+	// maxPendingRequests limits the permit requests kept for each gateway.
 	maxPendingRequests = 64
+	// idleRequestInterval is the time between two permit requests to a gateway without runs.
+	// They tell it that the agent is alive, and starts refer to them.
+	idleRequestInterval = time.Second
+	// maxAnswerDelay is how long a permit request may go unanswered while there are runs.
+	// Then the link is replaced, early enough for the runs to get a permit on the next one.
+	maxAnswerDelay = 250 * time.Millisecond
 )
 
 // Executor controls the runs of one worker. Its exported fields must be set before the
@@ -65,16 +75,21 @@
 
 // gatewayState is the state kept for one incarnation of a gateway.
 type gatewayState struct {
-	incarnation     identifier.Incarnation
-	linked          bool
-	permitExpiry    time.Time
-	pendingRequests []pendingRequest
-	usage           usage
-	recentEnds      []recentEnd
+	incarnation  identifier.Incarnation
+	linked       bool
+	permitExpiry time.Time
+	// requests holds the latest permit request that the gateway has referred to, and those
+	// sent after it, oldest first. lastPermit is the sequence number of the former.
+	requests   []permitRequest
+	lastPermit uint64
+	// released is set once the gateway was asked to close the link.
+	released   bool
+	usage      usage
+	recentEnds []recentEnd
 }
 
-// pendingRequest is a permit request that has not been answered.
-type pendingRequest struct {
+// permitRequest is a permit request that was sent on the present link.
+type permitRequest struct {
 	sequence uint64
 	sent     time.Time
 }
@@ -129,8 +144,8 @@
 	stopInFlight           bool
 }
 
-// Effect is an action that the process must carry out: a Send, DeferEnd, StartRun,
-// StopRun or HoldNow.
+// Effect is an action that the process must carry out: a Send, CloseLink, DeferEnd,
+// StartRun, StopRun or HoldNow.
 type Effect interface{ effect() }
 
 // Send sends a message to a gateway.
@@ -139,6 +154,11 @@
 	Message any
 }
 
+// CloseLink closes the link to a gateway that does not answer. It is to be dialled again.
+type CloseLink struct {
+	To identifier.Entry
+}
+
 // DeferEnd reports that a run ended while its gateway was not linked. The executor keeps
 // the end and sends it with the next Attach, if the gateway links again in time.
 type DeferEnd struct {
@@ -168,14 +188,16 @@
 // HoldNow asks for the next hold to be sent at once.
 type HoldNow struct{}
 
-func (Send) effect()     {}
-func (DeferEnd) effect() {}
-func (StartRun) effect() {}
-func (StopRun) effect()  {}
-func (HoldNow) effect()  {}
+func (Send) effect()      {}
+func (CloseLink) effect() {}
+func (DeferEnd) effect()  {}
+func (StartRun) effect()  {}
+func (StopRun) effect()   {}
+func (HoldNow) effect()   {}
 
 // GatewayLinked handles a new link to a gateway. Its effects begin with stopping the runs of
-// an earlier incarnation of the gateway, and end with the Attach message.
+// an earlier incarnation of the gateway, and end with the Attach message and a permit
+// request.
 func (x *Executor) GatewayLinked(now time.Time, gateway identifier.Entry, incarnation identifier.Incarnation) []Effect {
 	if x.gateways == nil {
 		x.gateways = make(map[identifier.Entry]*gatewayState)
@@ -187,7 +209,7 @@
 		g = &gatewayState{incarnation: incarnation}
 		x.gateways[gateway] = g
 	}
-	g.linked, g.usage.waiting, g.pendingRequests = true, false, nil
+	g.linked, g.released, g.usage.waiting, g.requests, g.lastPermit = true, false, false, nil, 0
 	attach := &Attach{Status: x.status(g)}
 	g.usage.lastReported = attach.Status.UsedByOthers
 	for _, run := range x.sortedRuns() {
@@ -200,7 +222,7 @@
 			attach.Ends = append(attach.Ends, recent.ended)
 		}
 	}
-	return append(effects, Send{gateway, attach})
+	return append(effects, Send{gateway, attach}, Send{gateway, x.requestPermit(now, g)})
 }
 
 // GatewayUnlinked handles the end of a link. Runs continue until the permit expires.
@@ -210,44 +232,13 @@
 	}
 }
 
-// RequestPermit returns a permit request, which must be sent at now.
-func (x *Executor) RequestPermit(now time.Time, gateway identifier.Entry) *PermitRequest {
-	x.sequence++
-	m := &PermitRequest{Sequence: x.sequence}
-	if g := x.gateways[gateway]; g != nil {
-		g.pendingRequests = append(g.pendingRequests, pendingRequest{x.sequence, now})
-		if len(g.pendingRequests) > maxPendingRequests {
-			g.pendingRequests = g.pendingRequests[1:]
-		}
-		m.UsedByOthers = x.reportUsedByOthers(g)
-	}
-	return m
-}
-
-// HandlePermit extends the permit of a gateway to PermitDuration after the request that m
-// answers was sent. That request and the older ones are no longer pending.
-func (x *Executor) HandlePermit(gateway identifier.Entry, m *Permit) {
-	g := x.gateways[gateway]
-	if g == nil {
-		return
-	}
-	for i, pending := range g.pendingRequests {
-		if pending.sequence == m.Sequence {
-			if until := pending.sent.Add(PermitDuration); until.After(g.permitExpiry) {
-				g.permitExpiry = until
-			}
-			g.pendingRequests = g.pendingRequests[i+1:]
-			return
-		}
-	}
-}
-
 // HandleStart starts, queues or refuses a run.
 func (x *Executor) HandleStart(now time.Time, gateway identifier.Entry, m *Start) []Effect {
 	g := x.gateways[gateway]
 	if g == nil {
 		return nil
 	}
+	x.HandlePermit(gateway, &m.Permit)
 	reason := x.refusalReason(now, g, m)
 	waits := reason == NoRoom && x.queueable(m.Demand)
 	if reason != "" && !waits {
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -345,8 +345,8 @@
 	return append(effects, x.sendStatus()...)
 }
 
-// Tick handles what depends on time alone: permits, leases, reservations and queued runs
-// that have expired, and stop orders that must be sent again.
+// Tick handles what depends on time alone: permits to be renewed, permits, leases,
+// reservations and queued runs that have expired, and stop orders that must be sent again.
 func (x *Executor) Tick(now time.Time) []Effect {
 	var effects []Effect
 	for _, gateway := range slices.Sorted(maps.Keys(x.gateways)) {
@@ -360,6 +360,7 @@
 			effects = append(effects, x.stopRun(now, run, e)...)
 		}
 	}
+	effects = append(effects, x.renewPermits(now)...)
 	effects = append(effects, x.expireReservations(now)...)
 	effects = append(effects, x.expireQueue(now)...)
 	return append(effects, x.checkUnresponsive(now)...)
--- a/internal/transient/executor/messages.go
+++ b/internal/transient/executor/messages.go
@@ -31,6 +31,8 @@
 	Service string
 	Spec    string
 	Demand  specifier.Resources
+	// Permit is granted with the start, so that the agent need not request one first.
+	Permit Permit
 }
 
 // Stop asks an agent to stop a run, or to make sure that it never starts.
@@ -139,8 +141,8 @@
 	Priority int
 }
 
-// PermitRequest asks a gateway whether its runs may continue. It is the heartbeat of an
-// agent.
+// PermitRequest asks a gateway whether its runs may continue. While there are none, it is
+// the heartbeat of the agent.
 type PermitRequest struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
@@ -148,10 +150,20 @@
 	UsedByOthers specifier.Resources
 }
 
-// Permit answers a PermitRequest. It is valid for PermitDuration after the request was
-// sent.
+// Permit allows the runs of a gateway to continue. It refers to a PermitRequest and is valid
+// for PermitDuration, counted from when that request was sent plus Age. The gateway sends it
+// no earlier than that, so a permit that is delivered late is valid for a shorter time.
 type Permit struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Sequence uint64
+	// Age is the time from the arrival of the request at the gateway until the permit was
+	// sent.
+	Age time.Duration
+}
+
+// Release asks a gateway to send no more starts on this link, and to close it when its runs
+// have ended.
+type Release struct {
+	_msgpack struct{} `msgpack:",as_array"`
 }
