Give freed capacity to the most urgent work that fits

Freed capacity was reserved for a gateway whose tasks did not fit into it, or that had placed them elsewhere meanwhile, and lay idle for 20 to 45 ms; runs queued at a worker went first whatever their priority; and a job went behind all others once late, with most of its tasks done.

Change: a backlog names the smallest demand of its most urgent tasks, and an agent passes over gateways whose tasks do not fit. A gateway that waits no longer releases its reservation, which is offered on. Queued runs are ordered by priority, and a gateway with more urgent tasks goes before them. A job of which half of the tasks were started does not go behind. Jobs with a larger demand than one that fits nowhere are not tried.

--- a/internal/sidecar/runner/links.go
+++ b/internal/sidecar/runner/links.go
@@ -81,7 +81,7 @@
 	case *executor.Stop:
 		r.perform(r.executor.HandleStop(now, gateway, m))
 	case *executor.Backlog:
-		r.perform(r.executor.HandleBacklog(gateway, m))
+		r.perform(r.executor.HandleBacklog(now, gateway, m))
 	case *selector.Directory:
 		r.learnGateways(m.Gateways)
 	default:
--- a/internal/transient/coordinator/placement.go
+++ b/internal/transient/coordinator/placement.go
@@ -38,12 +38,14 @@
 	return 1
 }
 
-// markLate moves the waiting jobs that can no longer meet their latency objective behind
-// the others. Placed first, they would make further jobs late.
+// markLate moves the waiting jobs that can no longer meet their latency objective behind the
+// others, unless half of their tasks have been started. When a burst of all classes exceeds
+// the capacity, late jobs that are placed first make further jobs late; but what a job has
+// used already is lost if the rest of it comes too late for its caller.
 func (c *Coordinator) markLate(now time.Time) {
 	var late []*job
 	for _, j := range c.waiting {
-		if !j.late && now.Add(j.expectedRun).After(j.due) {
+		if !j.late && 2*len(j.pending) > j.Tasks && now.Add(j.expectedRun).After(j.due) {
 			late = append(late, j)
 		}
 	}
@@ -77,7 +79,7 @@
 	var unmet []requirement
 	for i := 0; i < len(c.waiting) && i < maxSkipped; {
 		j := c.waiting[i]
-		if slices.Contains(unmet, j.requirement()) {
+		if slices.ContainsFunc(unmet, j.requirement().exceeds) {
 			i++
 			continue
 		}
@@ -92,14 +94,18 @@
 	return append(effects, c.sendBacklog()...)
 }
 
-// requirement is the part of a job that decides which agents can take its tasks. Within one
-// pass, no agent can take a task of a job if none could for an earlier job with the same
-// requirement.
+// requirement is the part of a job that decides which agents can take its tasks.
 type requirement struct {
 	service, label string
 	demand         specifier.Resources
 }
 
+// exceeds reports whether no agent can take a task with requirement r if none can take one
+// with requirement unmet.
+func (r requirement) exceeds(unmet requirement) bool {
+	return r.service == unmet.service && r.label == unmet.label && unmet.demand.FitsIn(r.demand)
+}
+
 func (j *job) requirement() requirement {
 	return requirement{j.Queue.Service, j.Label, j.Demand}
 }
@@ -133,7 +139,7 @@
 	a.used = a.used.Add(j.Demand)
 	j.started, j.lastStart = true, now
 	j.starts++
-	return Send{a.name, &executor.Start{Run: t.run, Service: j.Queue.Service, Spec: j.Spec, Demand: j.Demand, Permit: a.grantPermit(now)}}
+	return Send{a.name, &executor.Start{Run: t.run, Service: j.Queue.Service, Spec: j.Spec, Demand: j.Demand, Priority: j.Queue.Priority, Permit: a.grantPermit(now)}}
 }
 
 // chooseAgent returns the agent with the lowest cost for a task, or nil if none can take it.
@@ -223,10 +229,7 @@
 // sendBacklog sends the backlog of this gateway to each agent that was sent another one
 // before.
 func (c *Coordinator) sendBacklog() []Effect {
-	var backlog executor.Backlog
-	if len(c.waiting) > 0 {
-		backlog = executor.Backlog{Waiting: true, Priority: c.waiting[0].Queue.Priority}
-	}
+	backlog := c.backlog()
 	var names []identifier.Agent
 	for _, a := range c.agents {
 		if a.attached && a.sentBacklog != backlog {
@@ -242,6 +245,24 @@
 	return effects
 }
 
+// backlog returns the backlog of this gateway.
+func (c *Coordinator) backlog() executor.Backlog {
+	if len(c.waiting) == 0 {
+		return executor.Backlog{}
+	}
+	first := c.waiting[0]
+	b := executor.Backlog{Waiting: true, Priority: first.Queue.Priority, Demand: first.Demand}
+	for _, j := range c.waiting[1:] {
+		if j.late != first.late || j.Queue.Priority != first.Queue.Priority {
+			break
+		}
+		if j.Demand.FitsIn(b.Demand) {
+			b.Demand = j.Demand
+		}
+	}
+	return b
+}
+
 // sortedAgents returns the agents, sorted by name.
 func (c *Coordinator) sortedAgents() []*agent {
 	agents := make([]*agent, 0, len(c.agents))
--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -63,8 +63,8 @@
 	gateways map[identifier.Entry]*gatewayState
 	runs     map[RunID]*execution
 	used     specifier.Resources
-	// queue holds the runs that wait for free capacity, oldest first, and queuedDemand
-	// is the sum of their demands.
+	// queue holds the runs that wait for free capacity, the most urgent first and then the
+	// oldest, and queuedDemand is the sum of their demands.
 	queue        []RunID
 	queuedDemand specifier.Resources
 	sequence     uint64
@@ -122,6 +122,7 @@
 	gateway     identifier.Entry
 	incarnation identifier.Incarnation
 	demand      specifier.Resources
+	priority    int
 	spec        string
 	// worker is the incarnation of the worker that was ordered to start the run.
 	worker WorkerIncarnation
@@ -209,7 +210,7 @@
 		g = &gatewayState{incarnation: incarnation}
 		x.gateways[gateway] = g
 	}
-	g.linked, g.released, g.usage.waiting, g.requests, g.lastPermit = true, false, false, nil, 0
+	g.linked, g.released, g.usage.backlog, g.requests, g.lastPermit = true, false, Backlog{}, nil, 0
 	attach := &Attach{Status: x.status(g)}
 	g.usage.lastReported = attach.Status.UsedByOthers
 	for _, run := range x.sortedRuns() {
@@ -247,7 +248,7 @@
 	if x.runs == nil {
 		x.runs = make(map[RunID]*execution)
 	}
-	e := &execution{gateway: gateway, incarnation: g.incarnation, demand: m.Demand, spec: m.Spec, worker: x.worker.WorkerIncarnation, since: now}
+	e := &execution{gateway: gateway, incarnation: g.incarnation, demand: m.Demand, priority: m.Priority, spec: m.Spec, worker: x.worker.WorkerIncarnation, since: now}
 	x.runs[m.Run] = e
 	if waits {
 		x.enqueue(m.Run, g, e)
--- a/internal/transient/executor/executor_test.go
+++ b/internal/transient/executor/executor_test.go
@@ -36,12 +36,12 @@
 //
 //	report STARTED CPU [draining]; restore STARTED CPU; worker_left; drain; tick
 //	link GATEWAY INCARNATION; unlink GATEWAY; request_permit GATEWAY; permit GATEWAY; release GATEWAY
-//	backlog GATEWAY PRIORITY; no_backlog GATEWAY
-//	start GATEWAY RUN CPU [permit=SEQUENCE+AGE]; stop GATEWAY RUN
+//	backlog GATEWAY PRIORITY [CPU]; no_backlog GATEWAY
+//	start GATEWAY RUN CPU [permit=SEQUENCE+AGE] [priority=N]; stop GATEWAY RUN
 //	start_outcome RUN OUTCOME; stop_outcome RUN OUTCOME
 //	hold; hold_reply [RUN[%PERCENT]]... [N:RUN:OUTCOME]...; hold_failed OUTCOME
 func (d *driver) step(t *testing.T, now time.Time, words []string) string {
-	args := append(words[1:], "", "", "", "")
+	args := append(words[1:], "", "", "", "", "")
 	gateway := identifier.Entry(args[0])
 	var effects []Effect
 	switch words[0] {
@@ -70,11 +70,11 @@
 	case "permit":
 		d.x.HandlePermit(gateway, &Permit{Sequence: d.requests[gateway]})
 	case "backlog":
-		effects = d.x.HandleBacklog(gateway, &Backlog{Waiting: true, Priority: scripter.Number(t, args[1])})
+		effects = d.x.HandleBacklog(now, gateway, &Backlog{Waiting: true, Priority: scripter.Number(t, args[1]), Demand: specifier.Resources{CPU: optionalNumber(t, args[2])}})
 	case "no_backlog":
-		effects = d.x.HandleBacklog(gateway, &Backlog{})
+		effects = d.x.HandleBacklog(now, gateway, &Backlog{})
 	case "start":
-		effects = d.x.HandleStart(now, gateway, &Start{Run: parseRun(t, args[1]), Service: "counter", Demand: specifier.Resources{CPU: scripter.Number(t, args[2])}, Permit: parsePermit(t, args[3])})
+		effects = d.x.HandleStart(now, gateway, &Start{Run: parseRun(t, args[1]), Service: "counter", Demand: specifier.Resources{CPU: scripter.Number(t, args[2])}, Permit: parsePermit(t, args[3]), Priority: optionalNumber(t, strings.TrimPrefix(args[4], "priority="))})
 	case "stop":
 		effects = d.x.HandleStop(now, gateway, &Stop{Run: parseRun(t, args[1])})
 	case "start_outcome":
@@ -105,6 +105,14 @@
 	}
 }
 
+// optionalNumber parses a number. An empty word stands for zero.
+func optionalNumber(t *testing.T, word string) int {
+	if word == "" {
+		return 0
+	}
+	return scripter.Number(t, word)
+}
+
 // parsePermit parses a permit of the form permit=SEQUENCE+AGE. An empty word stands for none.
 func parsePermit(t *testing.T, word string) Permit {
 	sequence, age, given := strings.Cut(strings.TrimPrefix(word, "permit="), "+")
--- a/internal/transient/executor/messages.go
+++ b/internal/transient/executor/messages.go
@@ -31,6 +31,8 @@
 	Service string
 	Spec    string
 	Demand  specifier.Resources
+	// Priority is that of the run's queue. Zero is the most urgent.
+	Priority int
 	// Permit is granted with the start, so that the agent need not request one first.
 	Permit Permit
 }
@@ -132,13 +134,14 @@
 	UsedByOthers specifier.Resources
 }
 
-// Backlog tells an agent whether tasks wait at the gateway for capacity, and the priority
-// of the first one.
+// Backlog tells an agent whether tasks wait at the gateway for capacity.
 type Backlog struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Waiting  bool
+	Waiting bool
+	// Priority is that of the most urgent tasks, and Demand the smallest demand among them.
 	Priority int
+	Demand   specifier.Resources
 }
 
 // PermitRequest asks a gateway whether its runs may continue. While there are none, it is
--- a/internal/transient/executor/queue.go
+++ b/internal/transient/executor/queue.go
@@ -26,7 +26,11 @@
 // enqueue adds a run to the queue.
 func (x *Executor) enqueue(run RunID, g *gatewayState, e *execution) {
 	e.phase = queued
-	x.queue = append(x.queue, run)
+	i := slices.IndexFunc(x.queue, func(other RunID) bool { return x.runs[other].priority > e.priority })
+	if i < 0 {
+		i = len(x.queue)
+	}
+	x.queue = slices.Insert(x.queue, i, run)
 	x.queuedDemand = x.queuedDemand.Add(e.demand)
 	g.usage.queuedDemand = g.usage.queuedDemand.Add(e.demand)
 }
@@ -40,7 +44,7 @@
 	}
 }
 
-// startQueued starts the queued runs that fit into the free capacity, oldest first.
+// startQueued starts the queued runs that fit into the free capacity, in their order.
 func (x *Executor) startQueued(now time.Time) []Effect {
 	var effects []Effect
 	for _, run := range slices.Clone(x.queue) {
@@ -82,7 +86,7 @@
 
 // hasRoom reports whether a demand fits into the capacity that is free for a gateway.
 func (x *Executor) hasRoom(g *gatewayState, demand specifier.Resources) bool {
-	return demand.FitsIn(x.worker.report.Capacity.Sub(x.used).Sub(x.reservedForOthers(g)))
+	return x.worker != nil && demand.FitsIn(x.worker.report.Capacity.Sub(x.used).Sub(x.reservedForOthers(g)))
 }
 
 // gatewayOf returns the gateway of a run, or nil if the gateway has restarted since.
--- a/internal/transient/executor/usage.go
+++ b/internal/transient/executor/usage.go
@@ -11,10 +11,9 @@
 
 // usage is the part of the worker's capacity that one gateway uses.
 type usage struct {
-	// waiting is set while tasks wait at the gateway, and priority is that of the first.
-	waiting  bool
-	priority int
-	used     specifier.Resources
+	// backlog is the last backlog that the gateway has sent.
+	backlog Backlog
+	used    specifier.Resources
 	// queuedDemand is the demand of its runs that are queued at the agent.
 	queuedDemand specifier.Resources
 	// reserved is capacity that only this gateway may use, until reservedUntil.
@@ -34,14 +33,20 @@
 )
 
 // HandleBacklog records whether tasks wait at a gateway for capacity. A gateway that starts
-// to wait is sent the current usage if its information is out of date.
-func (x *Executor) HandleBacklog(gateway identifier.Entry, m *Backlog) []Effect {
+// to wait is sent the current usage if its information is out of date. The reservation of a
+// gateway that waits no longer is offered to others: under peak load, agents reserve more for
+// the most urgent gateway together than it needs.
+func (x *Executor) HandleBacklog(now time.Time, gateway identifier.Entry, m *Backlog) []Effect {
 	g := x.gateways[gateway]
 	if g == nil {
 		return nil
 	}
-	becameWaiting := m.Waiting && !g.usage.waiting
-	g.usage.waiting, g.usage.priority = m.Waiting, m.Priority
+	if reserved := g.usage.reserved; !m.Waiting && reserved != (specifier.Resources{}) {
+		g.usage.backlog, g.usage.reserved = *m, specifier.Resources{}
+		return x.offer(now, g, reserved)
+	}
+	becameWaiting := m.Waiting && !g.usage.backlog.Waiting
+	g.usage.backlog = *m
 	if !becameWaiting || !g.linked || x.usedByOthers(g) == g.usage.lastReported {
 		return nil
 	}
@@ -79,35 +84,48 @@
 	g.usage.reserved = g.usage.reserved.Sub(demand).ClampToZero()
 }
 
-// free returns capacity that a gateway used; g is nil if the gateway has restarted since.
-// Queued runs get it first. Otherwise it is reserved for a short time for one gateway with
-// waiting tasks: the one with the most urgent task, then the one that uses least. If it
-// were announced to all gateways, all would send a run and all but one would be refused.
+// free returns capacity that a gateway used, and offers it; g is nil if the gateway has
+// restarted since.
 func (x *Executor) free(now time.Time, g *gatewayState, demand specifier.Resources) []Effect {
 	x.used = x.used.Sub(demand)
 	if g != nil {
 		g.usage.used = g.usage.used.Sub(demand)
 	}
-	if effects := x.startQueued(now); len(effects) > 0 {
-		return effects
-	}
-	gateway, next := x.nextWaiting(g)
-	if next == nil || next == g {
-		// The gateway learns of the capacity from the end of its run.
-		return nil
+	return x.offer(now, g, demand)
+}
+
+// offer gives free capacity to the most urgent use: to queued runs, or by a reservation to one
+// gateway with waiting tasks, the one with the most urgent task, then the one that uses least.
+// If it were announced to all gateways, all would send a run and all but one would be refused.
+// The gateway from, which may be nil, learns of the capacity without a message.
+func (x *Executor) offer(now time.Time, from *gatewayState, capacity specifier.Resources) []Effect {
+	gateway, next := x.nextWaiting(from)
+	moreUrgent := next != nil && len(x.queue) > 0 && next.usage.backlog.Priority < x.runs[x.queue[0]].priority
+	if !moreUrgent {
+		if effects := x.startQueued(now); len(effects) > 0 {
+			return effects
+		}
+		if next == nil || next == from {
+			return nil
+		}
 	}
-	next.usage.reserved = next.usage.reserved.Add(demand)
+	next.usage.reserved = next.usage.reserved.Add(capacity)
 	next.usage.reservedUntil = now.Add(reservationDuration)
-	return []Effect{Send{gateway, &Load{UsedByOthers: x.reportUsedByOthers(next)}}}
+	var effects []Effect
+	if next != from {
+		effects = append(effects, Send{gateway, &Load{UsedByOthers: x.reportUsedByOthers(next)}})
+	}
+	return append(effects, x.startQueued(now)...)
 }
 
-// nextWaiting returns the gateway that gets freed capacity, and prefers g among equals.
+// nextWaiting returns the gateway that gets freed capacity, and prefers g among equals. A
+// gateway whose tasks do not fit is passed over: it would leave the capacity unused.
 func (x *Executor) nextWaiting(g *gatewayState) (identifier.Entry, *gatewayState) {
 	var name identifier.Entry
 	var next *gatewayState
 	for _, gateway := range slices.Sorted(maps.Keys(x.gateways)) {
 		candidate := x.gateways[gateway]
-		if !candidate.linked || !candidate.usage.waiting {
+		if !candidate.linked || !candidate.usage.backlog.Waiting || !x.hasRoom(candidate, candidate.usage.backlog.Demand) {
 			continue
 		}
 		if next == nil || candidate.usage.precedes(&next.usage) || (candidate == g && !next.usage.precedes(&candidate.usage)) {
@@ -119,8 +137,8 @@
 
 // precedes reports whether a gateway with usage u gets capacity before one with usage v.
 func (u *usage) precedes(v *usage) bool {
-	if u.priority != v.priority {
-		return u.priority < v.priority
+	if u.backlog.Priority != v.backlog.Priority {
+		return u.backlog.Priority < v.backlog.Priority
 	}
 	return u.used.CPU+u.reserved.CPU < v.used.CPU+v.reserved.CPU
 }
@@ -140,7 +158,7 @@
 	}
 	var effects []Effect
 	for _, gateway := range slices.Sorted(maps.Keys(x.gateways)) {
-		if g := x.gateways[gateway]; g.linked && g.usage.waiting && x.usedByOthers(g) != g.usage.lastReported {
+		if g := x.gateways[gateway]; g.linked && g.usage.backlog.Waiting && x.usedByOthers(g) != g.usage.lastReported {
 			effects = append(effects, Send{gateway, &Load{UsedByOthers: x.reportUsedByOthers(g)}})
 		}
 	}
--- a/internal/transient/simulator/caller_test.go
+++ b/internal/transient/simulator/caller_test.go
@@ -19,6 +19,15 @@
 	// notRun is the number of submissions that were answered NotRun.
 	notRun int
 	state  coordinator.State
+	// gateway is the one that gets the first submission, or nil for a random one.
+	gateway *gateway
+	// class, sent, objective and owed describe a job of a load pattern. A job that is not owed
+	// an answer is left out of the tally.
+	class      string
+	sent       time.Time
+	objective  time.Duration
+	owed       bool
+	answeredAt time.Time
 }
 
 // submission is one request to run a job, on a connection of its own. It belongs to one
@@ -53,7 +62,10 @@
 		return
 	}
 	c.submissions++
-	g := c.sim.gateways[c.sim.random.IntN(len(c.sim.gateways))]
+	g := c.gateway
+	if g == nil || c.submissions > 1 {
+		g = c.sim.gateways[c.sim.random.IntN(len(c.sim.gateways))]
+	}
 	sub := &submission{caller: c, gateway: g, generation: g.generation}
 	if !g.up || g.isolated {
 		sub.unanswered()
@@ -114,6 +126,7 @@
 			sub.caller.sim.completed++
 		}
 		sub.ended, sub.caller.done, sub.caller.state = true, true, a.State
+		sub.caller.answeredAt = sub.caller.sim.now
 	})
 }
 
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -261,7 +261,7 @@
 	case *executor.Stop:
 		a.perform(a.executor.HandleStop(now, name, m))
 	case *executor.Backlog:
-		a.perform(a.executor.HandleBacklog(name, m))
+		a.perform(a.executor.HandleBacklog(now, name, m))
 	}
 }
 
@@ -277,6 +277,9 @@
 			}
 			if m, ok := e.Message.(*executor.Ended); ok {
 				a.sim.logf("%s reports to %s %s %s %s", a.name, e.To, m.Run, m.Outcome, m.Reason)
+				if m.Outcome == executor.Refused {
+					a.sim.refused++
+				}
 			}
 		case executor.CloseLink:
 			for _, g := range a.sim.gateways {
@@ -296,6 +299,9 @@
 	}
 }
 
+// promptHoldDelay is the time between two holds to a worker that answers when a run ends.
+const promptHoldDelay = 3 * time.Millisecond
+
 // sendHold sends a hold to the worker, and the next one after its answer.
 func (a *agent) sendHold() {
 	h, ok := a.executor.NextHold(a.sim.now)
@@ -314,6 +320,10 @@
 		} else {
 			a.perform(a.executor.HoldFailed(a.sim.now, h, outcome))
 		}
-		a.schedule(time.Duration(1+a.sim.random.IntN(60))*time.Millisecond, a, a.sendHold)
+		delay := time.Duration(1+a.sim.random.IntN(60)) * time.Millisecond
+		if a.sim.promptHolds {
+			delay = promptHoldDelay
+		}
+		a.schedule(delay, a, a.sendHold)
 	})
 }
--- a/internal/transient/simulator/simulation_test.go
+++ b/internal/transient/simulator/simulation_test.go
@@ -42,8 +42,12 @@
 	// log holds the latest steps, for the report of a violation.
 	log        []string
 	violations []string
-	// starts counts the runs that workers have started.
-	starts int
+	// promptHolds is set if workers answer a hold when a run ends, and not later.
+	promptHolds bool
+	// starts counts the runs that workers have started, refused those that agents refused.
+	starts, refused int
+	// wasted is the run time of runs that did not succeed.
+	wasted time.Duration
 	// completed and notRun count the answers of these states.
 	completed, notRun int
 }
--- a/internal/transient/simulator/worker_test.go
+++ b/internal/transient/simulator/worker_test.go
@@ -37,6 +37,10 @@
 	lossRate float64
 	// hanging is set while new runs make no progress and do not end.
 	hanging bool
+	// slowness multiplies the run time of new runs, if it is not zero.
+	slowness int
+	// capacity is the CPU capacity, or zero for the default.
+	capacity int
 }
 
 // execution is the simulated work of a run.
@@ -90,12 +94,19 @@
 	w.agent.schedule(time.Millisecond, w, func() { w.agent.perform(w.agent.executor.WorkerLeft(w.sim.now, w.id)) })
 }
 
+// defaultCapacity is the CPU capacity of a worker in millicores.
+const defaultCapacity = 4000
+
 // report returns the present report of the worker.
 func (w *worker) report() executor.WorkerReport {
+	capacity := defaultCapacity
+	if w.capacity > 0 {
+		capacity = w.capacity
+	}
 	return executor.WorkerReport{
 		WorkerIncarnation: executor.WorkerIncarnation{Name: w.id, StartedAt: w.startedAt},
 		Service:           "counter",
-		Capacity:          specifier.Resources{CPU: 4000},
+		Capacity:          specifier.Resources{CPU: capacity},
 		Clock:             w.sim.now.Sub(w.startedAt),
 		Sequence:          w.sequence,
 	}
@@ -161,7 +172,17 @@
 		}
 		leaseEnd = w.sim.now.Add(executor.LeaseDuration)
 	}
-	duration := time.Duration(20+w.sim.random.IntN(600)) * time.Millisecond
+	duration, fails, ok := specified(s)
+	if !ok {
+		duration = time.Duration(20+w.sim.random.IntN(600)) * time.Millisecond
+	}
+	if w.slowness > 0 {
+		duration *= time.Duration(w.slowness)
+	}
+	outcome := executor.Done
+	if fails {
+		outcome = executor.Failed
+	}
 	w.running[s.Run] = &execution{w.sim.now, duration, w.hanging}
 	w.sim.starts++
 	w.sim.logf("worker %s starts %s", w.id, s.Run)
@@ -171,7 +192,7 @@
 	if !w.hanging {
 		w.sim.after(duration, func() {
 			if w.generation == generation {
-				w.endRun(s.Run, executor.Done)
+				w.endRun(s.Run, outcome)
 			}
 		})
 	}
@@ -203,6 +224,9 @@
 	if w.running[run] == nil {
 		return
 	}
+	if outcome != executor.Done {
+		w.sim.wasted += w.sim.now.Sub(w.running[run].startedAt)
+	}
 	delete(w.running, run)
 	w.highestEnded[taskOf(run)] = max(w.highestEnded[taskOf(run)], run.Number)
 	w.lastEnd++
