Refuse jobs that cannot be answered before their callers leave

Cause: nothing was ever refused for load. Jobs behind more work than would be started in their callers' time, and jobs of a service without an available worker, waited until the deadline without a word.

Change: a forecaster observes the rate at which work is started while other work waits. Of the waiting jobs of which nothing was started, those are answered as not run that cannot end in time even if all of that rate goes to the work before them, and those whose service has had no available worker for a second. Retry-After is the time in which the rest of the backlog drains, spread by up to a half. A refusal that proves wrong and a job held until its deadline without a start are counted (jobs_refused_in_error_total, jobs_held_in_vain_total). runs_lost_total counted stalled workers too; each event has a counter of its own now.

--- a/internal/gateway/runner/endpoints.go
+++ b/internal/gateway/runner/endpoints.go
@@ -9,10 +9,14 @@
 
 // counters holds the metrics of a gateway.
 type counters struct {
-	set                                                           *metrics.Set
-	jobs, runsLost, messagesSent, messagesReceived, storeFailures *metrics.Counter
-	completed, failed, cancelled, notRun, unfinished              *metrics.Counter
-	answerSeconds                                                 *metrics.Histogram
+	set                                                 *metrics.Set
+	jobs, messagesSent, messagesReceived, storeFailures *metrics.Counter
+	completed, failed, cancelled, notRun, unfinished    *metrics.Counter
+	// heldInVain counts the jobs of which nothing was started by their deadline.
+	heldInVain    *metrics.Counter
+	answerSeconds *metrics.Histogram
+	// events counts the logged events by their names.
+	events map[string]*metrics.Counter
 }
 
 // newCounters registers the metrics in a set of their own.
@@ -22,7 +26,6 @@
 	return counters{
 		set:              set,
 		jobs:             count("jobs_total"),
-		runsLost:         count("runs_lost_total"),
 		messagesSent:     count("messages_sent_total"),
 		messagesReceived: count("messages_received_total"),
 		storeFailures:    count("store_failures_total"),
@@ -31,7 +34,13 @@
 		cancelled:        count(`answers_total{state="cancelled"}`),
 		notRun:           count(`answers_total{state="not_run"}`),
 		unfinished:       count(`answers_total{state="unfinished"}`),
-		answerSeconds:    set.NewHistogram("dandeliongrade_gateway_answer_seconds"),
+		heldInVain:       count("jobs_held_in_vain_total"),
+		events: map[string]*metrics.Counter{
+			coordinator.EventRunLost:        count("runs_lost_total"),
+			coordinator.EventWorkerStalled:  count("workers_stalled_total"),
+			coordinator.EventRefusedInError: count("jobs_refused_in_error_total"),
+		},
+		answerSeconds: set.NewHistogram("dandeliongrade_gateway_answer_seconds"),
 	}
 }
 
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -157,7 +157,9 @@
 		case coordinator.Reply:
 			r.reply(&e)
 		case coordinator.LogEvent:
-			r.counters.runsLost.Inc()
+			if c := r.counters.events[e.Name]; c != nil {
+				c.Inc()
+			}
 			r.log.Info(e.Name, zap.Stringer("run", e.Run), zap.String("agent", string(e.Agent)), zap.String("cause", e.Cause), zap.Duration("agent_heard_before", e.SinceHeard))
 		}
 	}
@@ -167,6 +169,9 @@
 func (r *Runner) reply(e *coordinator.Reply) {
 	r.counters.answers(e.Answer.State).Inc()
 	r.counters.answerSeconds.Update(e.Took.Seconds())
+	if e.Cause == coordinator.CauseDeadline && e.Starts == 0 {
+		r.counters.heldInVain.Inc()
+	}
 	r.log.Info("job_answered", zap.String("job", string(e.Job)), zap.Stringer("state", e.Answer.State), zap.String("cause", e.Cause),
 		zap.Duration("took", e.Took), zap.Duration("placed", e.PlacedAfter), zap.Int("starts", e.Starts), zap.Int("lost", e.Lost))
 	if c := r.callers[e.Job]; c != nil {
--- a/internal/transient/coordinator/agents.go
+++ b/internal/transient/coordinator/agents.go
@@ -251,7 +251,7 @@
 func (c *Coordinator) retryOrFail(now time.Time, a *agent, j *job, t *task, m *executor.Ended) []Effect {
 	j.lostRuns++
 	t.avoidAgent = a.name
-	event := LogEvent{Name: "run_lost", Run: m.Run, Agent: a.name, Cause: m.Outcome.String(), SinceHeard: now.Sub(a.lastHeard)}
+	event := LogEvent{Name: EventRunLost, Run: m.Run, Agent: a.name, Cause: m.Outcome.String(), SinceHeard: now.Sub(a.lastHeard)}
 	if m.Outcome == executor.Refused {
 		event.Cause = string(m.Reason)
 	}
--- a/internal/transient/coordinator/coordinator.go
+++ b/internal/transient/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/load/forecaster"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
 )
@@ -85,8 +86,19 @@
 	Starts, Lost int
 }
 
+// The names of logged events.
+const (
+	EventRunLost        = "run_lost"
+	EventWorkerStalled  = "worker_stalled"
+	EventRefusedInError = "refused_in_error"
+)
+
+// CauseDeadline is the cause of an answer that is given because the caller stops waiting.
+const CauseDeadline = "deadline"
+
 // LogEvent is a decision to be logged.
 type LogEvent struct {
+	// Name is one of the event names.
 	Name  string
 	Run   executor.RunID
 	Agent identifier.Agent
@@ -113,6 +125,13 @@
 	// answers holds recent answers, for callers that submit a job again.
 	answers   answerCache
 	estimator estimator
+	// forecaster predicts how long jobs wait.
+	forecaster forecaster.Forecaster
+	// refusedUntil holds, for the jobs refused for the backlog, until when they could have been
+	// started.
+	refusedUntil []time.Time
+	// lastAvailable is when a worker of each service was available last.
+	lastAvailable map[string]time.Time
 	// lastNumber is the number of the last run.
 	lastNumber uint64
 	// lastTick is the time of the last Tick. No task is started before resumeAt.
@@ -187,7 +206,7 @@
 		cause = "gateway_stops"
 	}
 	if cause != "" {
-		return []Effect{Reply{Job: j.ID, Answer: Answer{State: NotRun, RetryAfter: retryAfter}, Cause: cause}}
+		return []Effect{Reply{Job: j.ID, Answer: Answer{State: NotRun, RetryAfter: spread(minRetryAfter, j.ID)}, Cause: cause}}
 	}
 	if c.jobs == nil {
 		c.jobs = make(map[specifier.JobID]*job)
@@ -198,9 +217,6 @@
 	return c.place(now)
 }
 
-// retryAfter is the RetryAfter of jobs that were not run. Demand changes within seconds.
-const retryAfter = time.Second
-
 // admit returns the record of a new job, with all its tasks pending.
 func (c *Coordinator) admit(now time.Time, j specifier.Job) *job {
 	expected := c.estimator.expectedRunTime(&j)
@@ -332,14 +348,16 @@
 		case paused && now.Sub(j.arrived) > pauseLimit:
 			effects = append(effects, c.end(now, j, j.abandonedAnswer(), "gateway_paused")...)
 		case !now.Before(j.deadline):
-			effects = append(effects, c.end(now, j, j.abandonedAnswer(), "deadline")...)
+			effects = append(effects, c.end(now, j, j.abandonedAnswer(), CauseDeadline)...)
 		}
 	}
 	effects = append(effects, c.closeLinks(now)...)
 	effects = append(effects, c.expireRuns(now)...)
 	effects = append(effects, c.checkOverdue(now)...)
 	c.markLate(now)
-	return append(effects, c.place(now)...)
+	effects = append(effects, c.place(now)...)
+	c.forecaster.SetBacklogged(now, len(c.waiting) > 0)
+	return append(effects, c.refuseHopeless(now)...)
 }
 
 // paused reports whether this process was suspended for longer than pauseLimit.
@@ -352,7 +370,7 @@
 	if j.started {
 		return Answer{State: Unfinished}
 	}
-	return Answer{State: NotRun, RetryAfter: retryAfter}
+	return Answer{State: NotRun, RetryAfter: spread(minRetryAfter, j.ID)}
 }
 
 // Drain restricts what is accepted until the process stops: a new job must be likely to
--- a/internal/transient/coordinator/coordinator_test.go
+++ b/internal/transient/coordinator/coordinator_test.go
@@ -108,7 +108,11 @@
 		case CloseLink:
 			fmt.Fprintf(&out, "%s: close link, %s\n", e.To, e.Cause)
 		case Reply:
-			fmt.Fprintf(&out, "answer %s: %s, %s, took %s, %d starts, %d lost\n", e.Job, e.Answer.State, e.Cause, e.Took, e.Starts, e.Lost)
+			fmt.Fprintf(&out, "answer %s: %s, %s, took %s, %d starts, %d lost", e.Job, e.Answer.State, e.Cause, e.Took, e.Starts, e.Lost)
+			if e.Answer.RetryAfter > 0 {
+				fmt.Fprintf(&out, ", retry after %s", e.Answer.RetryAfter.Round(time.Millisecond))
+			}
+			out.WriteString("\n")
 		case LogEvent:
 			fmt.Fprintf(&out, "log %s %s at %s: %s\n", e.Name, taskOf(e.Run), e.Agent, e.Cause)
 		}
--- a/internal/transient/coordinator/health.go
+++ b/internal/transient/coordinator/health.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		a.health.noteStall(now)
-		effects = append(effects, LogEvent{Name: "worker_stalled", Run: overdue[0], Agent: a.name, Cause: "most_runs_overdue", SinceHeard: now.Sub(a.lastHeard)})
+		effects = append(effects, LogEvent{Name: EventWorkerStalled, Run: overdue[0], Agent: a.name, Cause: "most_runs_overdue", SinceHeard: now.Sub(a.lastHeard)})
 	}
 	return append(effects, c.stopHung(now)...)
 }
@@ -110,7 +110,7 @@
 		if now.Sub(a.runs[run].tasks[run.Index].startSent) < executor.StallAfter {
 			continue
 		}
-		effects = append(effects, LogEvent{Name: "worker_stalled", Run: run, Agent: a.name, Cause: "no_progress", SinceHeard: now.Sub(a.lastHeard)})
+		effects = append(effects, LogEvent{Name: EventWorkerStalled, Run: run, Agent: a.name, Cause: "no_progress", SinceHeard: now.Sub(a.lastHeard)})
 		effects = append(effects, c.stop(&a.runs[run].tasks[run.Index])...)
 	}
 	return effects
--- a/internal/transient/coordinator/placement.go
+++ b/internal/transient/coordinator/placement.go
@@ -137,6 +137,7 @@
 	}
 	a.runs[t.run] = j
 	a.used = a.used.Add(j.Demand)
+	c.forecaster.Started(now, taskWork(j))
 	j.started, j.lastStart = true, now
 	j.starts++
 	return Send{a.name, &executor.Start{Run: t.run, Service: j.Queue.Service, Spec: j.Spec, Demand: j.Demand, Priority: j.Queue.Priority, Permit: a.grantPermit(now)}}
--- a/internal/transient/simulator/load_test.go
+++ b/internal/transient/simulator/load_test.go
@@ -68,6 +68,7 @@
 	{name: "burst_of_long", factors: [3]float64{1, 1, 6}},
 	{name: "burst_of_urgent", factors: [3]float64{4, 1, 1}},
 	{name: "burst_of_all", factors: [3]float64{2.6, 2.6, 2.6}},
+	{name: "overload", factors: [3]float64{6, 6, 6}},
 	{name: "workers_reclaimed", factors: [3]float64{2, 2, 2}, disturb: func(s *simulation) {
 		for _, a := range s.agents[:loadAgents/7] {
 			a.worker.leave(time.Minute)
