Answer inquiries after a handover, and wait for it before

Change: an inquiry waits until the partition is served, as a submission does. A handover says which jobs have ended, so that the next owner has their answers; an answer passes on to the owner after it too.

Test: inquiry_after_handover.txtar failed first (unknown_job for both inquiries for a).

--- a/internal/job/owner/admission.go
+++ b/internal/job/owner/admission.go
@@ -26,19 +26,27 @@
 }
 
 // Inquire replies with the current state of a job. If the message asks for it, the
-// tasks that have not been sent are cancelled first.
+// tasks that have not been sent are cancelled first. An inquiry waits until its partition
+// is served: before that, the jobs of the earlier owner are not known.
 func (o *Owner) Inquire(now time.Time, from RequestID, m *Inquire) []Effect {
 	part := o.partitions[m.Submission.Partition(o.settings.Partitions)]
-	if part == nil {
+	switch {
+	case part == nil:
 		o.respond(from, Reply{Moved: true})
-		return o.flush()
+	case !part.serving:
+		part.inquiries = append(part.inquiries, pendingInquiry{from, *m})
+	default:
+		o.inquire(now, part, from, m)
 	}
+	return o.flush()
+}
+
+// inquire replies to an inquiry in a partition that is served.
+func (o *Owner) inquire(now time.Time, part *partition, from RequestID, m *Inquire) {
 	j, ok := part.registry.Find(m.Submission)
 	if !ok {
-		r := unknownJob(m.Submission)
-		r.NotRun = part.serving && part.registry.WithinRetention(now, m.Created) && !part.mayHaveAdmitted(m.Submission, m.Created)
-		o.refuse(now, from, r)
-		return o.flush()
+		o.inquireEarlier(now, part, from, m)
+		return
 	}
 	if m.Cancel {
 		o.giveUp(now, j, describer.Pending, "cancelled by the caller")
@@ -49,7 +57,22 @@
 		o.respond(from, Reply{Running: true})
 	}
 	o.dispatch(now)
-	return o.flush()
+}
+
+// inquireEarlier replies to an inquiry for a job that this owner has not admitted.
+func (o *Owner) inquireEarlier(now time.Time, part *partition, from RequestID, m *Inquire) {
+	if answer, ok := part.answers[m.Submission]; ok {
+		o.respond(from, Reply{Answer: answer})
+		return
+	}
+	r := unknownJob(m.Submission)
+	earlier := part.mayHaveAdmitted(m.Submission, m.Created)
+	r.NotRun = part.registry.WithinRetention(now, m.Created) && !earlier
+	if earlier {
+		r.Detail = "the job " + m.Submission.String() + " may have been submitted to an earlier owner"
+		r.Remedy = "submit it again under the same identity; what has run is not run again"
+	}
+	o.refuse(now, from, r)
 }
 
 func (o *Owner) admit(now time.Time, part *partition, from RequestID, described describer.Job) {
--- a/internal/job/owner/handover.go
+++ b/internal/job/owner/handover.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -34,6 +35,8 @@
 	Submission identifier.Submission
 	Digest     uint64
 	Tasks      []HandoverTask
+	// Ended is set if the job has ended. Tasks then lists all its tasks, in their order.
+	Ended bool
 }
 
 // HandoverTask is a task that was sent to an agent or has ended. Its result is
@@ -86,10 +89,17 @@
 		}
 		r := bySubmission[id.Submission]
 		r.Submission, r.Digest = id.Submission, part.digests[id.Submission]
+		_, r.Ended = part.answers[id.Submission]
 		r.Tasks = append(r.Tasks, HandoverTask{Index: id.Index, Agent: start.agent, Incarnation: start.incarnation, Epoch: start.epoch, Attempt: start.attempt, Result: start.result})
 		bySubmission[id.Submission] = r
 	}
 	part.registry.Each(func(s identifier.Submission, j *job) { bySubmission[s] = j.handoverRecord() })
+	for s, r := range bySubmission {
+		if r.Ended {
+			slices.SortFunc(r.Tasks, func(a, b HandoverTask) int { return cmp.Compare(a.Index, b.Index) })
+			bySubmission[s] = r
+		}
+	}
 	records := make([]HandoverRecord, 0, len(bySubmission))
 	for _, s := range slices.SortedFunc(maps.Keys(bySubmission), identifier.Submission.Compare) {
 		records = append(records, bySubmission[s])
@@ -100,7 +110,7 @@
 // handoverRecord returns the record of a job. Waiting tasks are left out: they were
 // not started, and the next owner may start them.
 func (j *job) handoverRecord() HandoverRecord {
-	r := HandoverRecord{Submission: j.Submission, Digest: j.digest}
+	r := HandoverRecord{Submission: j.Submission, Digest: j.digest, Ended: j.ended && j.answer.Refusal == nil}
 	for i, result := range j.answer.Results {
 		r.Tasks = append(r.Tasks, HandoverTask{Index: i, Result: result})
 	}
@@ -112,6 +122,15 @@
 	return r
 }
 
+// answer returns the answer of a job that has ended.
+func (r HandoverRecord) answer() describer.Answer {
+	results := make([]describer.Result, len(r.Tasks))
+	for i, t := range r.Tasks {
+		results[i] = t.Result
+	}
+	return describer.Assemble(results)
+}
+
 // ImportHandover adds the records of a handover to a partition that is claimed and not
 // yet served. It reports whether the handover is complete with this message.
 func (o *Owner) ImportHandover(m *Handover) bool {
@@ -121,6 +140,9 @@
 	}
 	for _, r := range m.Records {
 		part.digests[r.Submission] = r.Digest
+		if r.Ended {
+			part.answers[r.Submission] = r.answer()
+		}
 		for _, t := range r.Tasks {
 			id := identifier.Task{Submission: r.Submission, Index: t.Index}
 			part.addInherited(id, inheritedStart{agent: t.Agent, incarnation: t.Incarnation, epoch: t.Epoch, attempt: t.Attempt, result: t.Result})
--- a/internal/job/owner/partition.go
+++ b/internal/job/owner/partition.go
@@ -25,10 +25,14 @@
 	// their submissions.
 	inherited map[identifier.Task]inheritedStart
 	digests   map[identifier.Submission]uint64
+	// answers holds the answers that the earlier owner has handed over.
+	answers map[identifier.Submission]describer.Answer
 	// expiry is when the last identity that an earlier owner can have admitted
 	// expires.
-	expiry  time.Time
-	pending []pendingSubmission
+	expiry time.Time
+	// pending and inquiries are the requests that wait for the partition to be served.
+	pending   []pendingSubmission
+	inquiries []pendingInquiry
 }
 
 // inheritedStart is a start by an earlier owner, as an agent or the earlier owner has
@@ -50,6 +54,12 @@
 	job  describer.Job
 }
 
+// pendingInquiry is an inquiry that waits for its partition to be served.
+type pendingInquiry struct {
+	from    RequestID
+	inquiry Inquire
+}
+
 // Claim adds a partition to those that the entry owns, without serving it.
 func (o *Owner) Claim(c starter.Claim) {
 	o.partitions[c.Partition] = &partition{
@@ -57,6 +67,7 @@
 		registry:  admitter.Registry[*job]{Retention: o.settings.Retention, ClockBound: o.settings.ClockBound},
 		inherited: make(map[identifier.Task]inheritedStart),
 		digests:   make(map[identifier.Submission]uint64),
+		answers:   make(map[identifier.Submission]describer.Answer),
 	}
 }
 
@@ -107,6 +118,11 @@
 	for _, p := range pending {
 		o.admit(now, part, p.from, p.job)
 	}
+	inquiries := part.inquiries
+	part.inquiries = nil
+	for _, p := range inquiries {
+		o.inquire(now, part, p.from, &p.inquiry)
+	}
 	return o.flush()
 }
 
@@ -121,6 +137,9 @@
 	for _, waiting := range part.pending {
 		o.respond(waiting.from, Reply{Moved: true})
 	}
+	for _, waiting := range part.inquiries {
+		o.respond(waiting.from, Reply{Moved: true})
+	}
 	var released []*job
 	part.registry.Each(func(_ identifier.Submission, j *job) { released = append(released, j) })
 	slices.SortFunc(released, func(a, b *job) int { return a.Submission.Compare(b.Submission) })
@@ -183,6 +202,7 @@
 	}
 	part.inherited = make(map[identifier.Task]inheritedStart)
 	part.digests = make(map[identifier.Submission]uint64)
+	part.answers = make(map[identifier.Submission]describer.Answer)
 }
 
 // contradicts reports whether an earlier owner has recorded other content for s.
