--- a/cmd/dandeliongrade/soak.go
+++ b/cmd/dandeliongrade/soak.go
@@ -75,6 +75,8 @@
 func checkSoak(cmd *cli.Command) error {
 	gateways, workers := cmd.Int("gateways"), cmd.Int("workers")
 	switch {
+	case cmd.Int("seeds") < 1:
+		return &usageError{errors.Errorf("--seeds %d runs nothing; give at least 1", cmd.Int("seeds"))}
 	case cmd.Duration("for") < soaker.MinDuration:
 		return &usageError{errors.Errorf("--for %s is too short; give at least %s", cmd.Duration("for"), soaker.MinDuration)}
 	case gateways < 1 || gateways > maxProcesses || workers < 1 || workers > maxProcesses:
--- a/internal/front/listener/listener.go
+++ b/internal/front/listener/listener.go
@@ -6,14 +6,18 @@
 	"context"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 )
 
 // MaxBodyBytes is the largest request body that is served. Bodies of up to maxReadBytes are
@@ -32,6 +36,8 @@
 // Server is an HTTP server on one port.
 type Server struct {
 	*server.Hertz
+	// Log receives the panics of handlers. It may be nil.
+	Log *zap.Logger
 
 	conns *idleTracker
 }
@@ -82,7 +88,27 @@
 		server.WithDisablePrintRoute(true),
 		server.WithHandleMethodNotAllowed(true),
 	}
-	return &Server{server.New(append(options, extra...)...), conns}
+	s := &Server{Hertz: server.New(append(options, extra...)...), conns: conns}
+	s.Use(s.recoverPanic)
+	return s
+}
+
+// recoverPanic answers a request whose handler panics, so that it ends that request and not the
+// process. The outcome of the request is unknown, and the answer says no more.
+func (s *Server) recoverPanic(ctx context.Context, rc *app.RequestContext) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if s.Log != nil {
+			s.Log.Error("request_panicked", zap.ByteString("method", rc.Method()), zap.ByteString("path", rc.Path()), zap.Any("cause", cause), zap.ByteString("stack", debug.Stack()))
+		}
+		rc.Response.Reset()
+		rc.SetConnectionClose()
+		rc.AbortWithMsg("the request failed unexpectedly; its outcome is unknown", consts.StatusInternalServerError)
+	}()
+	rc.Next(ctx)
 }
 
 // Run serves until ctx ends, and then waits for the requests in flight, for at most
--- a/internal/gateway/runner/jobs.go
+++ b/internal/gateway/runner/jobs.go
@@ -35,17 +35,7 @@
 // Submit submits a job and waits for its answer. When a second caller submits the same
 // job, it replaces the first, which is told that the job is unfinished.
 func (r *Runner) Submit(ctx context.Context, job specifier.Job) coordinator.Answer {
-	answer := make(chan coordinator.Answer, 1)
-	r.mu.Lock()
-	r.counters.jobs.Inc()
-	if previous := r.callers[job.ID]; previous != nil {
-		previous <- coordinator.Answer{State: coordinator.Unfinished}
-	}
-	r.callers[job.ID] = answer
-	r.log.Info("job_accepted", zap.String("job", string(job.ID)), zap.String("queue", job.Queue.Name), zap.Int("tasks", job.Tasks),
-		zap.Duration("budget", job.Budget), zap.Duration("estimate", job.Estimate), zap.Uint64("manifest", r.router.Manifest().Version))
-	r.perform(r.coordinator.Submit(r.clock(), job))
-	r.mu.Unlock()
+	answer := r.acceptJob(job)
 	select {
 	case a := <-answer:
 		return a
@@ -60,6 +50,22 @@
 	return coordinator.Answer{State: coordinator.Unfinished}
 }
 
+// acceptJob passes a job to the coordinator, and returns the channel that receives its answer.
+func (r *Runner) acceptJob(job specifier.Job) chan coordinator.Answer {
+	answer := make(chan coordinator.Answer, 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counters.jobs.Inc()
+	if previous := r.callers[job.ID]; previous != nil {
+		previous <- coordinator.Answer{State: coordinator.Unfinished}
+	}
+	r.callers[job.ID] = answer
+	r.log.Info("job_accepted", zap.String("job", string(job.ID)), zap.String("queue", job.Queue.Name), zap.Int("tasks", job.Tasks),
+		zap.Duration("budget", job.Budget), zap.Duration("estimate", job.Estimate), zap.Uint64("manifest", r.router.Manifest().Version))
+	r.perform(r.coordinator.Submit(r.clock(), job))
+	return answer
+}
+
 // JobState returns the state of a job.
 func (r *Runner) JobState(id specifier.JobID) coordinator.State {
 	r.mu.Lock()
--- a/internal/link/connector/link.go
+++ b/internal/link/connector/link.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -127,12 +128,35 @@
 		if err != nil {
 			return err
 		}
-		if err := handle(message); err != nil {
+		if err := handleSafely(handle, message); err != nil {
 			return err
 		}
 	}
 }
 
+// PanicError reports that the handler of a message panicked.
+type PanicError struct {
+	Message any
+	Cause   any
+	Stack   []byte
+}
+
+// Error returns the type of the message, the cause and the stack.
+func (e *PanicError) Error() string {
+	return errors.Errorf("panic while handling %T: %v; report this with the stack: %s", e.Message, e.Cause, e.Stack).Error()
+}
+
+// handleSafely calls handle and turns a panic into an error, so that an unexpected message ends
+// the link it came on and not the process.
+func handleSafely(handle func(message any) error, message any) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = &PanicError{message, cause, debug.Stack()}
+		}
+	}()
+	return handle(message)
+}
+
 // maxReusedBytes bounds the buffers that a link keeps between messages.
 const maxReusedBytes = 64 << 10
 
@@ -150,7 +174,9 @@
 	ticker := time.NewTicker(l.timing.HeartbeatInterval)
 	defer ticker.Stop()
 	var batch []byte
-	wrote := false
+	// wrote is set when something other than a heartbeat was written during the present
+	// interval, and beating while a heartbeat is pending.
+	wrote, beating := false, false
 	for {
 		select {
 		case <-ctx.Done():
@@ -160,11 +186,12 @@
 			if l.NewHeartbeat != nil {
 				_ = l.Send(l.NewHeartbeat())
 			} else if !wrote {
+				beating = true
 				_ = l.Send(&registrar.Heartbeat{})
 			}
 			wrote = false
 		case <-l.wake:
-			wrote = true
+			wrote, beating = wrote || !beating, false
 			batch = l.takePending(batch)
 			_ = l.conn.SetWriteDeadline(time.Now().Add(l.timing.responseTimeout()))
 			if _, err := l.conn.Write(batch); err != nil {
--- a/internal/link/connector/link_test.go
+++ b/internal/link/connector/link_test.go
@@ -81,3 +81,39 @@
 	err := NewLink(local, testTiming).Run(context.Background(), func(any) error { return nil })
 	assert.ErrorContains(t, err, "timeout")
 }
+
+// TestPanicEndsLink makes the handler of a message panic. The link ends with an error that
+// names the message and the cause.
+func TestPanicEndsLink(t *testing.T) {
+	local, remote := net.Pipe()
+	defer remote.Close()
+	ended := make(chan error, 1)
+	go func() {
+		ended <- NewLink(local, testTiming).Run(context.Background(), func(any) error { panic("unexpected") })
+	}()
+	assert.NilError(t, writeMessage(remote, &registrar.Bye{}))
+	err := <-ended
+	assert.ErrorContains(t, err, "panic while handling *registrar.Bye: unexpected")
+}
+
+// TestIdleHeartbeats counts the heartbeats on an idle link. It guards against an interval
+// without one, after which a single late heartbeat closes the link.
+func TestIdleHeartbeats(t *testing.T) {
+	local, remote := net.Pipe()
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	timing := Timing{HeartbeatInterval: 50 * time.Millisecond, SilenceTimeout: 10 * time.Second}
+	go func() {
+		ended <- NewLink(local, timing).Run(ctx, func(any) error { return nil })
+	}()
+	began := time.Now()
+	for range 8 {
+		_, err := readMessage(remote)
+		assert.NilError(t, err)
+	}
+	intervals := int(time.Since(began) / timing.HeartbeatInterval)
+	assert.Assert(t, intervals < 12, "%d intervals for 8 heartbeats", intervals)
+	stop()
+	<-ended
+	_ = remote.Close()
+}
--- a/internal/sidecar/runner/links.go
+++ b/internal/sidecar/runner/links.go
@@ -75,7 +75,7 @@
 	switch m := message.(type) {
 	case *registrar.Heartbeat:
 	case *executor.Permit:
-		r.executor.HandlePermit(gateway, m)
+		r.executor.HandlePermit(now, gateway, m)
 	case *executor.Start:
 		r.perform(r.executor.HandleStart(now, gateway, m))
 	case *executor.Stop:
--- a/internal/sidecar/runner/orders.go
+++ b/internal/sidecar/runner/orders.go
@@ -89,11 +89,13 @@
 	r.perform(r.executor.HandleStopOutcome(r.clock(), order, outcome))
 }
 
-// logOutcome counts and logs an order that the worker did not accept.
+// logOutcome logs an order that the worker did not accept, and counts those without an answer.
 func (r *Runner) logOutcome(order string, run executor.RunID, outcome executor.CallOutcome) {
 	if outcome == executor.Accepted {
 		return
 	}
-	r.counters.failedOrders.Inc()
+	if outcome == executor.Silent {
+		r.counters.unansweredOrders.Inc()
+	}
 	r.log.Warn("order_failed", zap.String("order", order), zap.Stringer("run", run), zap.Stringer("reply", outcome))
 }
--- a/internal/sidecar/runner/runner.go
+++ b/internal/sidecar/runner/runner.go
@@ -81,8 +81,8 @@
 
 // counters holds the metrics of a sidecar.
 type counters struct {
-	set                                                                 *metrics.Set
-	starts, ends, refused, failedOrders, messagesSent, messagesReceived *metrics.Counter
+	set                                                                     *metrics.Set
+	starts, ends, refused, unansweredOrders, messagesSent, messagesReceived *metrics.Counter
 }
 
 // newCounters registers the metrics in a set of their own.
@@ -94,7 +94,7 @@
 		starts:           count("starts_total"),
 		ends:             count("ends_total"),
 		refused:          count("starts_refused_total"),
-		failedOrders:     count("orders_unanswered_total"),
+		unansweredOrders: count("orders_unanswered_total"),
 		messagesSent:     count("messages_sent_total"),
 		messagesReceived: count("messages_received_total"),
 	}
--- a/internal/sidecar/runner/worker.go
+++ b/internal/sidecar/runner/worker.go
@@ -10,14 +10,14 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
 )
 
-// HandleReport handles a report of the worker. It is stored if it comes from a new
-// incarnation or if the worker has started or stopped draining.
+// HandleReport handles a report of the worker. It is stored if it differs from the last one in
+// more than its sequence number and clock.
 func (r *Runner) HandleReport(report executor.WorkerReport) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	previous, known := r.executor.WorkerReport()
 	r.perform(r.executor.WorkerReported(r.clock(), report))
-	if known && previous.WorkerIncarnation.Equal(report.WorkerIncarnation) && previous.Draining == report.Draining {
+	if known && previous.Describes(&report) {
 		return
 	}
 	r.log.Info("worker_reported", zap.String("worker", report.Name), zap.Time("born", report.StartedAt), zap.Bool("draining", report.Draining))
--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -239,7 +239,7 @@
 	if g == nil {
 		return nil
 	}
-	x.HandlePermit(gateway, &m.Permit)
+	x.HandlePermit(now, gateway, &m.Permit)
 	reason := x.refusalReason(now, g, m)
 	waits := reason == NoRoom && x.queueable(m.Demand)
 	if reason != "" && !waits {
--- a/internal/transient/executor/executor_test.go
+++ b/internal/transient/executor/executor_test.go
@@ -68,7 +68,7 @@
 	case "release":
 		effects = d.x.ReleaseLink(gateway)
 	case "permit":
-		d.x.HandlePermit(gateway, &Permit{Sequence: d.requests[gateway]})
+		d.x.HandlePermit(now, gateway, &Permit{Sequence: d.requests[gateway]})
 	case "backlog":
 		effects = d.x.HandleBacklog(now, gateway, &Backlog{Waiting: true, Priority: scripter.Number(t, args[1]), Demand: specifier.Resources{CPU: optionalNumber(t, args[2])}})
 	case "no_backlog":
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -141,7 +141,8 @@
 	e := x.runs[order.Run]
 	if outcome == Gone {
 		effects := x.handleWorkerExit(now, order.Worker, false)
-		if e != nil && e.worker.Equal(order.Worker) {
+		// The run may have ended with the worker.
+		if e != nil && x.runs[order.Run] == e && e.worker.Equal(order.Worker) {
 			effects = append(effects, x.finish(now, order.Run, e, Refused, NoWorker)...)
 		}
 		return effects
--- a/internal/transient/executor/permit.go
+++ b/internal/transient/executor/permit.go
@@ -18,9 +18,9 @@
 	return &PermitRequest{Sequence: x.sequence, UsedByOthers: x.reportUsedByOthers(g)}
 }
 
-// HandlePermit extends the permit of a gateway. A permit that refers to a request on an
-// earlier link has no effect.
-func (x *Executor) HandlePermit(gateway identifier.Entry, m *Permit) {
+// HandlePermit extends the permit of a gateway, to at most PermitDuration from now. A permit
+// that refers to a request on an earlier link has no effect.
+func (x *Executor) HandlePermit(now time.Time, gateway identifier.Entry, m *Permit) {
 	g := x.gateways[gateway]
 	if g == nil {
 		return
@@ -29,7 +29,9 @@
 		if request.sequence != m.Sequence {
 			continue
 		}
-		if until := request.sent.Add(max(m.Age, 0) + PermitDuration); until.After(g.permitExpiry) {
+		// The permit cannot have been sent after now, whatever the clock of the gateway says.
+		age := min(max(m.Age, 0), now.Sub(request.sent))
+		if until := request.sent.Add(age + PermitDuration); until.After(g.permitExpiry) {
 			g.permitExpiry = until
 		}
 		g.requests, g.lastPermit = g.requests[i:], m.Sequence
--- a/internal/transient/executor/worker.go
+++ b/internal/transient/executor/worker.go
@@ -36,6 +36,13 @@
 	Sequence uint64
 }
 
+// Describes reports whether other says the same of the same incarnation of the worker, its
+// sequence number and clock aside.
+func (r *WorkerReport) Describes(other *WorkerReport) bool {
+	return r.WorkerIncarnation.Equal(other.WorkerIncarnation) && r.Addr == other.Addr && r.Service == other.Service && r.Zone == other.Zone &&
+		slices.Equal(r.Labels, other.Labels) && r.Capacity == other.Capacity && r.Draining == other.Draining
+}
+
 // workerState is the state kept for one incarnation of the worker.
 type workerState struct {
 	WorkerIncarnation
@@ -87,9 +94,9 @@
 		return nil
 	}
 	if w != nil && r.WorkerIncarnation.Equal(w.WorkerIncarnation) {
-		changed := r.Draining != w.report.Draining || r.Capacity != w.report.Capacity || r.Service != w.report.Service
+		same := r.Describes(&w.report)
 		w.report = r
-		if !changed {
+		if same {
 			return nil
 		}
 		return x.sendStatus()
--- /dev/null
+++ b/internal/transient/executor/worker_test.go
@@ -0,0 +1,35 @@
+package executor
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestDescribes changes one field of a report at a time. It guards against a worker that is
+// used by an outdated description after a restart of its agent.
+func TestDescribes(t *testing.T) {
+	base := WorkerReport{WorkerIncarnation: WorkerIncarnation{Name: "w", StartedAt: time.UnixMilli(1)}, Service: "s", Labels: []string{"a"}}
+	for name, c := range map[string]struct {
+		change func(r *WorkerReport)
+		same   bool
+	}{
+		"nothing":     {func(*WorkerReport) {}, true},
+		"sequence":    {func(r *WorkerReport) { r.Sequence++ }, true},
+		"clock":       {func(r *WorkerReport) { r.Clock++ }, true},
+		"location":    {func(r *WorkerReport) { r.StartedAt = r.StartedAt.UTC() }, true},
+		"incarnation": {func(r *WorkerReport) { r.StartedAt = time.UnixMilli(2) }, false},
+		"address":     {func(r *WorkerReport) { r.Addr = netip.MustParseAddrPort("10.0.0.1:1") }, false},
+		"service":     {func(r *WorkerReport) { r.Service = "other" }, false},
+		"zone":        {func(r *WorkerReport) { r.Zone = "other" }, false},
+		"labels":      {func(r *WorkerReport) { r.Labels = []string{"a", "b"} }, false},
+		"capacity":    {func(r *WorkerReport) { r.Capacity.CPU++ }, false},
+		"draining":    {func(r *WorkerReport) { r.Draining = true }, false},
+	} {
+		changed := base
+		c.change(&changed)
+		assert.Equal(t, base.Describes(&changed), c.same, name)
+	}
+}
--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -44,6 +44,7 @@
 // simulateHistory simulates one history with two gateways and three agents.
 func simulateHistory(seed uint64) *simulation {
 	s := newSimulation(seed, 2, 3)
+	s.releases = true
 	s.run(200 * time.Millisecond)
 	n := 0
 	for at := time.Duration(0); at < historyLength; at += time.Duration(50+s.random.IntN(400)) * time.Millisecond {
@@ -123,3 +124,20 @@
 		}
 	})
 }
+
+// maxIdleMessages is the largest number of messages a second on an idle link, in both
+// directions. A cell of 55 gateways and 240 agents with eight links each then sends fewer than
+// 4,000 messages a second without any work.
+const maxIdleMessages = 4000.0 / (240 * 8)
+
+// TestIdleMessages counts the messages of agents and gateways without work. It guards against a
+// load of idle processes that grows with the size of the cell.
+func TestIdleMessages(t *testing.T) {
+	const gateways, agents, seconds = 2, 3, 20
+	s := newSimulation(1, gateways, agents)
+	s.run(time.Second)
+	s.messages = 0
+	s.run(seconds * time.Second)
+	perLink := float64(s.messages) / seconds / (gateways * agents)
+	assert.Assert(t, perLink <= maxIdleMessages, "%.2f messages a second on each link", perLink)
+}
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -209,6 +209,9 @@
 
 // releaseLink releases the link to a random gateway. The agent dials it again later.
 func (a *agent) releaseLink() {
+	if !a.sim.releases {
+		return
+	}
 	g := a.sim.gateways[a.sim.random.IntN(len(a.sim.gateways))]
 	a.perform(a.executor.ReleaseLink(g.name))
 }
@@ -255,7 +258,7 @@
 	now, name := a.sim.now, l.gateway.name
 	switch m := message.(type) {
 	case *executor.Permit:
-		a.executor.HandlePermit(name, m)
+		a.executor.HandlePermit(now, name, m)
 	case *executor.Start:
 		a.perform(a.executor.HandleStart(now, name, m))
 	case *executor.Stop:
--- a/internal/transient/simulator/link_test.go
+++ b/internal/transient/simulator/link_test.go
@@ -39,6 +39,7 @@
 	if !l.gatewayOpen {
 		return
 	}
+	l.sim.messages++
 	l.toAgent = append(l.toAgent, m)
 	at := l.sim.now.Add(l.delay())
 	if at.Before(l.agentNextArrival) {
@@ -53,6 +54,7 @@
 	if !l.agentOpen {
 		return
 	}
+	l.sim.messages++
 	l.toGateway = append(l.toGateway, m)
 	at := l.sim.now.Add(l.delay())
 	if at.Before(l.gatewayNextArrival) {
--- a/internal/transient/simulator/simulation_test.go
+++ b/internal/transient/simulator/simulation_test.go
@@ -44,6 +44,10 @@
 	violations []string
 	// promptHolds is set if workers answer a hold when a run ends, and not later.
 	promptHolds bool
+	// releases is set if agents release links at random.
+	releases bool
+	// messages counts the messages on all links.
+	messages int
 	// starts counts the runs that workers have started, refused those that agents refused.
 	starts, refused int
 	// wasted is the run time of runs that did not succeed.
