Let the soak notice when the machine stands still

Change: a pulse of the soak's own process records stretches in which it did not run. The report prints how often and how long the machine stood still, and the jobs not judged.

--- a/internal/bench/soaker/callers.go
+++ b/internal/bench/soaker/callers.go
@@ -96,9 +96,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		began := time.Now()
 		status, answer := s.send(ctx, &s.callers, s.randomGateway(random), j)
 		if j.mustServe && ctx.Err() == nil && (status != http.StatusOK || !strings.Contains(answer, "completed")) {
-			s.addViolation(JobNotServed, "job %s of %d tasks got %d %s in the fault-free period", j.id, j.tasks, status, answer)
+			s.jobNotServed(began, "job %s of %d tasks got %d %s in the fault-free period", j.id, j.tasks, status, answer)
 		}
 		if status != 0 && status != http.StatusGatewayTimeout && status != http.StatusBadGateway {
 			return
@@ -106,6 +107,16 @@
 	}
 }
 
+// jobNotServed records a violation, unless the machine stood still during the call that began at
+// the given time.
+func (s *soak) jobNotServed(began time.Time, format string, args ...any) {
+	if s.pulse.stoodStill(began, time.Now()) {
+		s.unjudged.Add(1)
+		return
+	}
+	s.addViolation(JobNotServed, format, args...)
+}
+
 // send sends a job once and returns status and answer. Without an answer the status is zero and
 // the text is the error.
 func (s *soak) send(ctx context.Context, callers *standin.CallerClient, to netip.AddrPort, j *job) (int, string) {
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/supervisor"
@@ -40,11 +41,19 @@
 type Report struct {
 	Faults, Jobs, Starts int
 	Violations           []Violation
+	// Unjudged is the number of jobs that were not served while the machine stood still, which
+	// says nothing about the system. Standstills is how often that happened, for Standstill in all.
+	Unjudged, Standstills int
+	Standstill            time.Duration
 }
 
 // String returns a summary line, followed by one line for each violation.
 func (r *Report) String() string {
-	s := fmt.Sprintf("%d faults, %d jobs, %d starts, %d promises broken\n", r.Faults, r.Jobs, r.Starts, len(r.Violations))
+	s := fmt.Sprintf("%d faults, %d jobs, %d starts, %d promises broken", r.Faults, r.Jobs, r.Starts, len(r.Violations))
+	if r.Standstills > 0 {
+		s += fmt.Sprintf("; the machine stood still %d times for %s, %d jobs not judged", r.Standstills, r.Standstill.Round(time.Millisecond), r.Unjudged)
+	}
+	s += "\n"
 	for _, v := range r.Violations {
 		s += fmt.Sprintf("%s %s: %s\n", v.At.Format("15:04:05.000"), v.Kind, v.Detail)
 	}
@@ -61,6 +70,8 @@
 	// impatientCallers is the client of callers that give up before the answer.
 	impatientCallers standin.CallerClient
 	manifests        manifests
+	pulse            pulse
+	unjudged         atomic.Int64
 }
 
 // Run runs one soak and returns what it found. It returns an error only if the soak itself
@@ -86,6 +97,8 @@
 	c.stop()
 	report := &Report{Faults: len(plan), Violations: checker.Finish(time.Now())}
 	report.Jobs, report.Starts = checker.Counts()
+	report.Unjudged = int(s.unjudged.Load())
+	report.Standstills, report.Standstill = s.pulse.total()
 	return report, nil
 }
 
@@ -101,7 +114,7 @@
 	for _, g := range s.settings.Size.gateways() {
 		goroutines = append(goroutines, func() { s.watchManifest(ctx, g) })
 	}
-	goroutines = append(goroutines, func() { s.watchProcesses(ctx) })
+	goroutines = append(goroutines, func() { s.watchProcesses(ctx) }, func() { s.pulse.run(ctx) })
 	wait := supervisor.Start(goroutines...)
 	s.inject(ctx, plan)
 	s.runFaultFree(ctx)
