Forecast from a second of backlog and sixteen starts

The rate of work came from 0.3 s in which long tasks took all capacity and hardly anything was started.

Change: the rate is known from a second of backlog and sixteen starts within the last two seconds.

--- a/internal/load/forecaster/forecaster.go
+++ b/internal/load/forecaster/forecaster.go
@@ -6,12 +6,15 @@
 
 const (
 	// period is how far back the rate of work is observed, in intervals of interval.
-	period   = time.Second
+	period   = 2 * time.Second
 	interval = 100 * time.Millisecond
 	// minBacklogged is the time with a backlog within period from which the rate is known.
 	// Without a backlog, work is started at the rate at which it arrives, which says nothing
 	// about the capacity.
-	minBacklogged = 300 * time.Millisecond
+	minBacklogged = time.Second
+	// minStarts is the number of starts in that time from which the rate is known. While a few
+	// long tasks take all capacity, hardly anything is started, and much more when they end.
+	minStarts = 16
 )
 
 // Forecaster observes the rate at which work is started while other work waits. Work is
@@ -29,8 +32,10 @@
 
 // observation is what happened in one interval.
 type observation struct {
-	// started is the work started during backlogged, the time in which other work waited.
+	// started is the work started during backlogged, the time in which other work waited, and
+	// starts counts it.
 	started, backlogged time.Duration
+	starts              int
 }
 
 // Started records that work was started.
@@ -38,6 +43,7 @@
 	o := f.current(now)
 	if f.backlogged {
 		o.started += work
+		o.starts++
 	}
 }
 
@@ -58,9 +64,10 @@
 	var sum observation
 	for _, o := range f.observations {
 		sum.started += o.started
+		sum.starts += o.starts
 		sum.backlogged += o.backlogged
 	}
-	if sum.backlogged < minBacklogged || sum.started <= 0 {
+	if sum.backlogged < minBacklogged || sum.starts < minStarts || sum.started <= 0 {
 		return 0, false
 	}
 	return time.Duration(float64(work) * sum.backlogged.Seconds() / sum.started.Seconds()), true
--- a/internal/load/forecaster/forecaster_test.go
+++ b/internal/load/forecaster/forecaster_test.go
@@ -14,7 +14,7 @@
 	})
 }
 
-// step runs one of these commands: started WORK, backlog, no_backlog, wait WORK.
+// step runs one of these commands: started WORK [TIMES], backlog, no_backlog, wait WORK.
 func step(t *testing.T, f *Forecaster, now time.Time, words []string) string {
 	switch words[0] {
 	case "backlog":
@@ -22,7 +22,13 @@
 	case "no_backlog":
 		f.SetBacklogged(now, false)
 	case "started":
-		f.Started(now, scripter.Duration(t, words[1]))
+		times := 1
+		if len(words) > 2 {
+			times = scripter.Number(t, words[2])
+		}
+		for range times {
+			f.Started(now, scripter.Duration(t, words[1]))
+		}
 	case "wait":
 		wait, known := f.Wait(now, scripter.Duration(t, words[1]))
 		if !known {
