--- a/internal/sidecar/runner/links.go
+++ b/internal/sidecar/runner/links.go
@@ -106,15 +106,23 @@
 	gatewayPollInterval = 500 * time.Millisecond
 )
 
-// findGateways reads the gateways from the store while none is linked, and links to the seeds
-// if that does not help. Linked gateways send the addresses of the others.
+// useSeeds links to the seeds unless a gateway is linked seedDelay after the start.
+func (r *Runner) useSeeds(ctx context.Context) {
+	delay := time.NewTimer(seedDelay)
+	defer delay.Stop()
+	select {
+	case <-delay.C:
+	case <-ctx.Done():
+		return
+	}
+	if r.linkCount() == 0 {
+		r.linker.LearnSeeds(r.settings.SeedLinkAddrs()...)
+	}
+}
+
+// findGateways reads the gateways from the store while none is linked. Linked gateways send the
+// addresses of the others.
 func (r *Runner) findGateways(ctx context.Context) {
-	seeds := time.AfterFunc(seedDelay, func() {
-		if r.linkCount() == 0 {
-			r.linker.LearnSeeds(r.settings.SeedLinkAddrs()...)
-		}
-	})
-	defer seeds.Stop()
 	ticker := time.NewTicker(gatewayPollInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/sidecar/runner/runner.go
+++ b/internal/sidecar/runner/runner.go
@@ -132,6 +132,7 @@
 		func() { r.runHolds(background) },
 		func() { r.linker.Run(background, r.session) },
 		func() { r.findGateways(background) },
+		func() { r.useSeeds(background) },
 		func() { r.releaseLinks(background) },
 		func() { r.persistReports(background) },
 	)
