--- a/internal/transient/coordinator/placement.go
+++ b/internal/transient/coordinator/placement.go
@@ -16,8 +16,8 @@
 // waiting jobs takes too long under peak load.
 const maxSkipped = 16
 
-// compareUrgency orders waiting jobs: first those that can still meet their latency
-// objective, then by the priority of the queue, then by due time.
+// compareUrgency orders waiting jobs when a burst exceeds the capacity: first those that are
+// not late, then by the priority of the queue, then by due time.
 func compareUrgency(a, b *job) int {
 	return cmp.Or(
 		compareBool(a.late, b.late),
@@ -246,7 +246,8 @@
 	return effects
 }
 
-// backlog returns the backlog of this gateway.
+// backlog returns the backlog of this gateway. Agents offer freed capacity by it when all workers
+// are full. It names the smallest demand, because an offer that no task fits into is wasted.
 func (c *Coordinator) backlog() executor.Backlog {
 	if len(c.waiting) == 0 {
 		return executor.Backlog{}
--- a/internal/transient/executor/usage.go
+++ b/internal/transient/executor/usage.go
@@ -94,8 +94,9 @@
 	return x.offer(now, g, demand)
 }
 
-// offer gives free capacity to the most urgent use: to queued runs, or by a reservation to one
-// gateway with waiting tasks, the one with the most urgent task, then the one that uses least.
+// offer gives free capacity to the most urgent use when more work waits than fits: to queued
+// runs, or by a reservation to one gateway with waiting tasks, the one with the most urgent task,
+// then the one that uses least.
 // If it were announced to all gateways, all would send a run and all but one would be refused.
 // The gateway from, which may be nil, learns of the capacity without a message.
 func (x *Executor) offer(now time.Time, from *gatewayState, capacity specifier.Resources) []Effect {
