Start queued runs before reserving freed capacity

It is unused for a round trip, at each end of a run while the peak lasts.

Change: queued runs go first, in the order of their priority; a reservation gets what they leave.

--- a/internal/transient/executor/usage.go
+++ b/internal/transient/executor/usage.go
@@ -94,29 +94,23 @@
 	return x.offer(now, g, demand)
 }
 
-// offer gives free capacity to the most urgent use when more work waits than fits: to queued
-// runs, or by a reservation to one gateway with waiting tasks, the one with the most urgent task,
-// then the one that uses least.
-// If it were announced to all gateways, all would send a run and all but one would be refused.
-// The gateway from, which may be nil, learns of the capacity without a message.
+// offer gives free capacity to queued runs, in the order of their urgency, or else reserves it for
+// one gateway whose waiting tasks fit: the one with the most urgent task, then the one that uses
+// least. When all workers are full, a queued run starts at once, whereas a reservation leaves the
+// capacity unused for a round trip, and a peak lasts longer for that. If the capacity were announced to
+// all gateways, all would send a run and all but one would be refused. The gateway from, which may
+// be nil, learns of the capacity without a message.
 func (x *Executor) offer(now time.Time, from *gatewayState, capacity specifier.Resources) []Effect {
+	if effects := x.startQueued(now); len(effects) > 0 {
+		return effects
+	}
 	gateway, next := x.nextWaiting(from)
-	moreUrgent := next != nil && len(x.queue) > 0 && next.usage.backlog.Priority < x.runs[x.queue[0]].priority
-	if !moreUrgent {
-		if effects := x.startQueued(now); len(effects) > 0 {
-			return effects
-		}
-		if next == nil || next == from {
-			return nil
-		}
+	if next == nil || next == from {
+		return nil
 	}
 	next.usage.reserved = next.usage.reserved.Add(capacity)
 	next.usage.reservedUntil = now.Add(reservationDuration)
-	var effects []Effect
-	if next != from {
-		effects = append(effects, Send{gateway, &Load{UsedByOthers: x.reportUsedByOthers(next)}})
-	}
-	return append(effects, x.startQueued(now)...)
+	return []Effect{Send{gateway, &Load{UsedByOthers: x.reportUsedByOthers(next)}}}
 }
 
 // nextWaiting returns the gateway that gets freed capacity, and prefers g among equals. A
