--- a/internal/transient/executor/usage.go
+++ b/internal/transient/executor/usage.go
@@ -28,7 +28,7 @@
 	// and the time that a loaded gateway takes to respond.
 	reservationDuration = 20 * time.Millisecond
 	// A large change is more than 1/largeChangeDivisor of the worker's CPU capacity. Large
-	// changes are sent to the gateways at once, smaller ones with the next heartbeat.
+	// changes are sent to the gateways at once, smaller ones with the next permit request.
 	largeChangeDivisor = 4
 )
 
