Use the seeds also when the store fails later, and guard the close of a link

By reading: a sidecar that had a gateway at its start never used the seeds afterwards, so that with the store down and all known gateways gone for a minute it would have found none.

--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -152,8 +152,7 @@
 		case coordinator.Send:
 			r.send(r.agentLinks[e.To], e.Message)
 		case coordinator.CloseLink:
-			r.log.Info("closing_link", zap.String("agent", string(e.To)), zap.String("cause", e.Cause))
-			r.agentLinks[e.To].Close()
+			r.closeLink(&e)
 		case coordinator.Reply:
 			r.reply(&e)
 		case coordinator.LogEvent:
@@ -165,6 +164,14 @@
 	}
 }
 
+// closeLink closes the link to an agent. Its goroutine then reports the end to the coordinator.
+func (r *Runner) closeLink(e *coordinator.CloseLink) {
+	if link := r.agentLinks[e.To]; link != nil {
+		r.log.Info("closing_link", zap.String("agent", string(e.To)), zap.String("cause", e.Cause))
+		link.Close()
+	}
+}
+
 // reply records the answer of a job and passes it to the caller that waits for it.
 func (r *Runner) reply(e *coordinator.Reply) {
 	r.counters.answers(e.Answer.State).Inc()
--- a/internal/sidecar/runner/links.go
+++ b/internal/sidecar/runner/links.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// findGateways reads the gateways from the store while none is linked. Linked gateways send the
-// addresses of the others.
+// findGateways reads the gateways from the store while none is linked, and uses the seeds if the
+// store does not answer. Linked gateways send the addresses of the others.
 func (r *Runner) findGateways(ctx context.Context) {
 	ticker := time.NewTicker(gatewayPollInterval)
 	defer ticker.Stop()
@@ -130,6 +130,7 @@
 			gateways, _, _, err := r.deps.Store.Gateways(ctx, 0, 0)
 			if err != nil && ctx.Err() == nil {
 				r.log.Warn("gateways_read_failed", logger.Error(err))
+				r.linker.LearnSeeds(r.settings.SeedLinkAddrs()...)
 			}
 			r.learnGateways(gateways)
 		}
