Split answers and effects from the deciding files, and use the field's terms

From reading the change anew, without a change of behaviour: the effects of the coordinator and the executor have files of their own; open links beside the chosen ones are collected in one place; the load patterns speak of callers that disconnect, jobs that fail and peaks; the soak passes the end of a call to what judges it.

--- a/internal/bench/soaker/callers.go
+++ b/internal/bench/soaker/callers.go
@@ -99,7 +99,7 @@
 		began := time.Now()
 		status, answer := s.send(ctx, &s.callers, s.randomGateway(random), j)
 		if j.mustServe && ctx.Err() == nil && (status != http.StatusOK || !strings.Contains(answer, "completed")) {
-			s.jobNotServed(began, "job %s of %d tasks got %d %s in the fault-free period", j.id, j.tasks, status, answer)
+			s.jobNotServed(began, time.Now(), "job %s of %d tasks got %d %s in the fault-free period", j.id, j.tasks, status, answer)
 		}
 		if status != 0 && status != http.StatusGatewayTimeout && status != http.StatusBadGateway {
 			return
@@ -107,14 +107,14 @@
 	}
 }
 
-// jobNotServed records a violation, unless the machine stood still during the call that began at
-// the given time.
-func (s *soak) jobNotServed(began time.Time, format string, args ...any) {
-	if s.pulse.stoodStill(began, time.Now()) {
+// jobNotServed records a violation, unless the machine stood still between the beginning and the
+// end of the call.
+func (s *soak) jobNotServed(began, ended time.Time, format string, args ...any) {
+	if s.pulse.stoodStill(began, ended) {
 		s.unjudged.Add(1)
 		return
 	}
-	s.addViolation(JobNotServed, format, args...)
+	s.checker.AddViolation(ended, JobNotServed, format, args...)
 }
 
 // send sends a job once and returns status and answer. Without an answer the status is zero and
--- a/internal/member/selector/choose.go
+++ b/internal/member/selector/choose.go
@@ -36,12 +36,8 @@
 // data centre of the process and remoteLinks elsewhere, or more elsewhere if there are too
 // few. Addresses with an open link are returned too, since runs may depend on it.
 func (s *Selector) Choose(now time.Time, p Process) []netip.AddrPort {
-	chosen := s.best(now, p)
-	for a := range s.open {
-		if !slices.Contains(chosen, a) {
-			chosen = append(chosen, a)
-		}
-	}
+	best := s.best(now, p)
+	chosen := append(best, s.openBeside(best)...)
 	slices.SortFunc(chosen, netip.AddrPort.Compare)
 	return chosen
 }
@@ -59,17 +55,23 @@
 	if 2*linked <= len(best) {
 		return nil
 	}
-	var surplus []netip.AddrPort
+	surplus := s.openBeside(best)
+	slices.SortFunc(surplus, netip.AddrPort.Compare)
+	return surplus
+}
+
+// openBeside returns the addresses with an open link that are not in addrs, in any order.
+func (s *Selector) openBeside(addrs []netip.AddrPort) []netip.AddrPort {
+	var others []netip.AddrPort
 	for a := range s.open {
-		if !slices.Contains(best, a) {
-			surplus = append(surplus, a)
+		if !slices.Contains(addrs, a) {
+			others = append(others, a)
 		}
 	}
-	slices.SortFunc(surplus, netip.AddrPort.Compare)
-	return surplus
+	return others
 }
 
-// best returns the addresses to be chosen whatever links are open.
+// best returns the addresses to be chosen without regard to the open links, in any order.
 func (s *Selector) best(now time.Time, p Process) []netip.AddrPort {
 	gateways := s.List()
 	addrs := make([]netip.AddrPort, 0, len(gateways))
--- a/internal/member/selector/selector.go
+++ b/internal/member/selector/selector.go
@@ -33,6 +33,7 @@
 // Selector holds the known addresses of gateways. The zero value is empty. It is not safe
 // for concurrent use.
 type Selector struct {
+	// known holds the known addresses.
 	known map[netip.AddrPort]record
 	// pins counts the pins of each address, and open its open links. An address with one of
 	// them does not expire.
@@ -43,6 +44,7 @@
 
 // record is what is known of an address.
 type record struct {
+	// confirmed is when the address was last confirmed.
 	confirmed  time.Time
 	dataCentre identifier.DataCentre
 }
--- /dev/null
+++ b/internal/transient/coordinator/effects.go
@@ -0,0 +1,105 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
+)
+
+// State is the state of a job as callers see it.
+type State uint8
+
+// The states of a job.
+const (
+	// Unknown means that the gateway has no such job.
+	Unknown State = iota
+	// Running means that the job has no answer yet.
+	Running
+	// Completed means that all tasks have succeeded.
+	Completed
+	// Failed means that a task has used all attempts that its queue allows.
+	Failed
+	// Cancelled means that a caller cancelled it.
+	Cancelled
+	// NotRun means that no task was started and none will be, so that the job can be
+	// submitted again safely.
+	NotRun
+	// Unfinished means that the job was given up before all its tasks were done, because
+	// its deadline passed, its caller left, or the gateway stopped or was paused. Tasks may
+	// have run.
+	Unfinished
+)
+
+var states = [...]string{"unknown", "running", "completed", "failed", "cancelled", "not_run", "unfinished"}
+
+// String returns the name of s in answers, logs and metrics.
+func (s State) String() string {
+	return states[s]
+}
+
+// Answer is the result that the caller of a job receives.
+type Answer struct {
+	State State
+	// RetryAfter is how long the caller should wait before it submits the job again. It
+	// is set for NotRun only.
+	RetryAfter time.Duration
+}
+
+// Effect is an action for the process to carry out: a Send, CloseLink, Reply or LogEvent.
+type Effect interface{ effect() }
+
+// Send sends a message to an agent.
+type Send struct {
+	To      identifier.Agent
+	Message any
+}
+
+// CloseLink closes the link to an agent.
+type CloseLink struct {
+	To identifier.Agent
+	// Cause is the reason, as it is logged.
+	Cause string
+}
+
+// Reply answers the caller of a job.
+type Reply struct {
+	Job    specifier.JobID
+	Answer Answer
+	// Cause is the reason for the answer, as it is logged.
+	Cause string
+	// Took is the time from the arrival of the job to the answer.
+	Took time.Duration
+	// PlacedAfter is the time from the arrival of the job to its last start.
+	PlacedAfter time.Duration
+	// Starts is the number of starts that were sent for the job. Lost is the number of
+	// runs that ended without success and were not stopped with the job.
+	Starts, Lost int
+}
+
+// The names of logged events.
+const (
+	EventRunLost        = "run_lost"
+	EventWorkerStalled  = "worker_stalled"
+	EventRefusedInError = "refused_in_error"
+)
+
+// CauseDeadline is the cause of an answer that is given because the caller stops waiting.
+const CauseDeadline = "deadline"
+
+// LogEvent is a decision to be logged.
+type LogEvent struct {
+	// Name is one of the event names.
+	Name  string
+	Run   executor.RunID
+	Agent identifier.Agent
+	Cause string
+	// SinceHeard is the time since the last message of the agent.
+	SinceHeard time.Duration
+}
+
+func (Send) effect()      {}
+func (CloseLink) effect() {}
+func (Reply) effect()     {}
+func (LogEvent) effect()  {}
--- a/internal/transient/coordinator/refusal.go
+++ b/internal/transient/coordinator/refusal.go
@@ -26,11 +26,11 @@
 	return j.expectedRun * time.Duration(j.Demand.CPU) / 1000
 }
 
-// refuseHopeless ends the waiting jobs that cannot be answered before their callers leave, so
+// refuseUnservable ends the waiting jobs that cannot be answered before their callers leave, so
 // that the callers learn at once that nothing was run: those behind more work than will be
 // started by then, when a burst lasts, and those without an available worker. It leaves jobs
 // with started tasks alone.
-func (c *Coordinator) refuseHopeless(now time.Time) []Effect {
+func (c *Coordinator) refuseUnservable(now time.Time) []Effect {
 	c.noteAvailable(now)
 	type refusal struct {
 		j     *job
--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -145,57 +145,6 @@
 	stopInFlight           bool
 }
 
-// Effect is an action that the process must carry out: a Send, CloseLink, DeferEnd,
-// StartRun, StopRun or HoldNow.
-type Effect interface{ effect() }
-
-// Send sends a message to a gateway.
-type Send struct {
-	To      identifier.Entry
-	Message any
-}
-
-// CloseLink closes the link to a gateway that does not answer. It is to be dialled again.
-type CloseLink struct {
-	To identifier.Entry
-}
-
-// DeferEnd reports that a run ended while its gateway was not linked. The executor keeps
-// the end and sends it with the next Attach, if the gateway links again in time.
-type DeferEnd struct {
-	To    identifier.Entry
-	Ended Ended
-}
-
-// StartRun orders the worker to start a run. The outcome of the call goes to
-// HandleStartOutcome.
-type StartRun struct {
-	Worker WorkerIncarnation
-	Run    RunID
-	Spec   string
-	// LeaseEnd is the end of the lease, on the worker's clock.
-	LeaseEnd time.Duration
-	Fence    uint64
-}
-
-// StopRun orders the worker to stop a run. The outcome of the call goes to
-// HandleStopOutcome.
-type StopRun struct {
-	Worker WorkerIncarnation
-	Run    RunID
-	Fence  uint64
-}
-
-// HoldNow asks for the next hold to be sent at once.
-type HoldNow struct{}
-
-func (Send) effect()      {}
-func (CloseLink) effect() {}
-func (DeferEnd) effect()  {}
-func (StartRun) effect()  {}
-func (StopRun) effect()   {}
-func (HoldNow) effect()   {}
-
 // GatewayLinked handles a new link to a gateway. Its effects begin with stopping the runs of
 // an earlier incarnation of the gateway, and end with the Attach message and a permit
 // request.
--- a/internal/transient/simulator/load_test.go
+++ b/internal/transient/simulator/load_test.go
@@ -41,25 +41,26 @@
 	// workerCPU and taskCPU let a worker run four tasks.
 	workerCPU = 16000
 	taskCPU   = 3800
-	// loadStart and loadEnd limit the time in which jobs are submitted. The crest of a pattern
-	// begins at crestStart and lasts for crestLength.
-	loadStart   = 500 * time.Millisecond
-	loadEnd     = 8 * time.Second
-	crestStart  = 2 * time.Second
-	crestLength = 3 * time.Second
-	// giveUpAfter is when impatient callers leave.
-	giveUpAfter = 300 * time.Millisecond
+	// loadStart and loadEnd limit the time in which jobs are submitted. The peak of a pattern
+	// begins at peakStart and lasts for peakLength.
+	loadStart  = 500 * time.Millisecond
+	loadEnd    = 8 * time.Second
+	peakStart  = 2 * time.Second
+	peakLength = 3 * time.Second
+	// disconnectAfter is how long a caller waits that disconnects early.
+	disconnectAfter = 300 * time.Millisecond
 )
 
 // pattern is a load or a disturbance under load.
 type pattern struct {
 	name string
-	// factors multiplies the rate of each class in the crest.
+	// factors multiplies the rate of each class in the peak.
 	factors [3]float64
-	// impatient is the share of callers that leave after giveUpAfter in the crest, hopeless
-	// the share of jobs in the crest of which a task always fails.
-	impatient, hopeless float64
-	// disturb is called at the middle of the crest.
+	// disconnectShare of the callers in the peak disconnect after disconnectAfter.
+	disconnectShare float64
+	// failShare of the jobs in the peak consist of tasks that fail on every attempt.
+	failShare float64
+	// disturb is called at the middle of the peak.
 	disturb func(*simulation)
 }
 
@@ -88,14 +89,14 @@
 			a.worker.crash(true, 900*time.Millisecond)
 		}
 	}},
-	{name: "callers_give_up", factors: [3]float64{2.6, 2.6, 2.6}, impatient: 0.35},
+	{name: "callers_disconnect", factors: [3]float64{2.6, 2.6, 2.6}, disconnectShare: 0.35},
 	{name: "workers_slow", factors: [3]float64{1.6, 1.6, 1.6}, disturb: func(s *simulation) {
 		for _, a := range s.agents[:loadAgents/6] {
 			a.worker.slowness = 5
 			s.after(2*time.Second, func() { a.worker.slowness = 0 })
 		}
 	}},
-	{name: "hopeless_jobs", factors: [3]float64{1.6, 1.6, 1.6}, hopeless: 0.1},
+	{name: "failing_jobs", factors: [3]float64{1.6, 1.6, 1.6}, failShare: 0.1},
 }
 
 // TestLoadPatterns replays each load pattern and prints, for each class, what callers get: the
@@ -143,31 +144,31 @@
 		n := 0
 		for at := loadStart; at < loadEnd; {
 			factor := 1.0
-			crest := at >= crestStart && at < crestStart+crestLength
-			if crest {
+			peak := at >= peakStart && at < peakStart+peakLength
+			if peak {
 				factor = p.factors[i]
 			}
 			n++
 			id, gateway := n, random.IntN(loadGateways)
-			impatient, hopeless := crest && random.Float64() < p.impatient, crest && random.Float64() < p.hopeless
-			s.after(at, func() { s.submitClass(c, id, gateway, impatient, hopeless) })
+			disconnects, fails := peak && random.Float64() < p.disconnectShare, peak && random.Float64() < p.failShare
+			s.after(at, func() { s.submitClass(c, id, gateway, disconnects, fails) })
 			at += time.Duration(random.ExpFloat64() / (c.rate * factor) * float64(time.Second))
 		}
 	}
 	if p.disturb != nil {
-		s.after(crestStart+crestLength/2, func() { p.disturb(s) })
+		s.after(peakStart+peakLength/2, func() { p.disturb(s) })
 	}
 	s.run(loadEnd + 8*time.Second)
 	return s
 }
 
 // submitClass adds the caller of a job of a class.
-func (s *simulation) submitClass(c class, n, gateway int, impatient, hopeless bool) {
+func (s *simulation) submitClass(c class, n, gateway int, disconnects, fails bool) {
 	id := specifier.JobID(fmt.Sprintf("%s%04d", c.name, n))
 	random := rand.New(rand.NewPCG(hash(string(id)), 0))
 	tasks := max(1, int(math.Round(float64(c.tasks)*(0.6+0.8*random.Float64()))))
 	spec := c.run.String()
-	if hopeless {
+	if fails {
 		spec = "fail " + spec
 	}
 	longest := time.Duration(0)
@@ -175,7 +176,7 @@
 		longest = max(longest, taskDuration(c.run, id, i))
 	}
 	objective := time.Duration(1.6*float64(longest)) + 60*time.Millisecond
-	caller := &caller{sim: s, class: c.name, sent: s.now, objective: objective, gateway: s.gateways[gateway], owed: !impatient && !hopeless, job: specifier.Job{
+	caller := &caller{sim: s, class: c.name, sent: s.now, objective: objective, gateway: s.gateways[gateway], owed: !disconnects && !fails, job: specifier.Job{
 		ID:       id,
 		Queue:    specifier.Queue{Name: c.name, Service: "counter", Priority: c.priority, MaxAttempts: 3, Stretch: 1.6, BaseObjective: 60 * time.Millisecond},
 		Spec:     spec,
@@ -184,8 +185,8 @@
 		Estimate: time.Duration(float64(c.run) * (0.6 + 0.8*random.Float64())),
 		Budget:   1500*time.Millisecond + 3*objective,
 	}}
-	if impatient {
-		caller.job.Budget = giveUpAfter
+	if disconnects {
+		caller.job.Budget = disconnectAfter
 		caller.submissions = maxSubmissions - 1
 	}
 	s.callers = append(s.callers, caller)
@@ -242,7 +243,7 @@
 	return text
 }
 
-// tally counts what the patient callers of a class got, without the jobs that cannot succeed.
+// tally counts what the callers that wait of a class got, without the jobs that cannot succeed.
 func (s *simulation) tally(class string) tally {
 	t := tally{class: class}
 	for _, c := range s.callers {
