Count the manifests and the lost links between gateways

The logs kept begin too late. A gauge of the version and counters of manifests sent and received and of links lost tell the three hypotheses apart.

--- a/internal/gateway/runner/endpoints.go
+++ b/internal/gateway/runner/endpoints.go
@@ -12,6 +12,9 @@
 	set                                                 *metrics.Set
 	jobs, messagesSent, messagesReceived, storeFailures *metrics.Counter
 	completed, failed, cancelled, notRun, unfinished    *metrics.Counter
+	// manifestsSent and manifestsReceived count the manifests that gateways pass on to each
+	// other, peerLinksLost the links between gateways that have ended.
+	manifestsSent, manifestsReceived, peerLinksLost *metrics.Counter
 	// heldInVain counts the jobs of which nothing was started by their deadline.
 	heldInVain    *metrics.Counter
 	answerSeconds *metrics.Histogram
@@ -29,6 +32,11 @@
 		messagesSent:     count("messages_sent_total"),
 		messagesReceived: count("messages_received_total"),
 		storeFailures:    count("store_failures_total"),
+
+		manifestsSent:     count("manifests_sent_total"),
+		manifestsReceived: count("manifests_received_total"),
+		peerLinksLost:     count("peer_links_lost_total"),
+
 		completed:        count(`answers_total{state="completed"}`),
 		failed:           count(`answers_total{state="failed"}`),
 		cancelled:        count(`answers_total{state="cancelled"}`),
@@ -72,5 +80,10 @@
 		defer r.mu.Unlock()
 		return float64(len(r.agentLinks))
 	})
+	r.counters.set.NewGauge("dandeliongrade_gateway_manifest_version", func() float64 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return float64(r.router.Manifest().Version)
+	})
 	return exporter.Endpoints{Metrics: r.counters.set, Ready: r.Ready}
 }
--- a/internal/gateway/runner/links.go
+++ b/internal/gateway/runner/links.go
@@ -123,7 +123,7 @@
 	r.peerLinks[link] = true
 	r.send(link, &selector.Directory{Gateways: r.linker.Known()})
 	if m := r.router.Manifest(); m.Version > 0 {
-		r.send(link, &m)
+		r.sendManifest(link, &m)
 	}
 }
 
@@ -132,6 +132,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.peerLinks, link)
+	r.counters.peerLinksLost.Inc()
 }
 
 // handlePeerMessage handles one message of another gateway.
@@ -142,6 +143,7 @@
 	case *selector.Directory:
 		r.learnGateways(m.Gateways)
 	case *router.Manifest:
+		r.counters.manifestsReceived.Inc()
 		r.adoptManifest(*m, "gateway")
 	default:
 		return &connector.UnexpectedMessageError{Message: message}
@@ -182,6 +184,12 @@
 	}
 	r.log.Info("manifest_adopted", zap.Uint64("version", m.Version), zap.Int("routes", len(m.Routes)), zap.String("source", source))
 	for link := range r.peerLinks {
-		r.send(link, &m)
+		r.sendManifest(link, &m)
 	}
 }
+
+// sendManifest sends a manifest to another gateway.
+func (r *Runner) sendManifest(link *connector.Link, m *router.Manifest) {
+	r.counters.manifestsSent.Inc()
+	r.send(link, m)
+}
