Send a manifest only to a gateway that asks for it

Callers saw: 404 for a route that had been added, 3.4 s after the change was confirmed, and long before that most answers late.

Cause: each gateway sent the whole manifest on every link to another gateway when it adopted it, two links for each pair, and again on each new link. 16 copies of 0.3 MB do not pass a link of 25 Mbit/s within the 400 ms that a write may take. The links were closed, dialled again and the copies sent again, without end, and the answers of the store had to pass the same links. The class: an amplified retransmission, which keeps itself up after its cause is gone.

Change: gateways announce versions. One that has heard of a newer version for 500 ms, or 50 ms if it has none, asks one gateway for it, and another one after 500 ms without an answer; a gateway sends to one at a time, and drops what its sender has given up.

--- a/internal/gateway/runner/endpoints.go
+++ b/internal/gateway/runner/endpoints.go
@@ -37,12 +37,12 @@
 		manifestsReceived: count("manifests_received_total"),
 		peerLinksLost:     count("peer_links_lost_total"),
 
-		completed:        count(`answers_total{state="completed"}`),
-		failed:           count(`answers_total{state="failed"}`),
-		cancelled:        count(`answers_total{state="cancelled"}`),
-		notRun:           count(`answers_total{state="not_run"}`),
-		unfinished:       count(`answers_total{state="unfinished"}`),
-		heldInVain:       count("jobs_held_in_vain_total"),
+		completed:  count(`answers_total{state="completed"}`),
+		failed:     count(`answers_total{state="failed"}`),
+		cancelled:  count(`answers_total{state="cancelled"}`),
+		notRun:     count(`answers_total{state="not_run"}`),
+		unfinished: count(`answers_total{state="unfinished"}`),
+		heldInVain: count("jobs_held_in_vain_total"),
 		events: map[string]*metrics.Counter{
 			coordinator.EventRunLost:        count("runs_lost_total"),
 			coordinator.EventWorkerStalled:  count("workers_stalled_total"),
--- a/internal/gateway/runner/links.go
+++ b/internal/gateway/runner/links.go
@@ -8,6 +8,7 @@
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
+	"github.com/dandeliongrade/dandeliongrade/internal/manifest/distributor"
 	"github.com/dandeliongrade/dandeliongrade/internal/manifest/router"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/registrar"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/selector"
@@ -89,9 +90,9 @@
 // servePeer handles the messages of another gateway that dialled this one, until its
 // link ends.
 func (r *Runner) servePeer(ctx context.Context, link *connector.Link, name identifier.Entry) {
-	r.addPeer(link)
-	err := link.Run(ctx, r.handlePeerMessage)
-	r.removePeer(link)
+	id := r.addPeer(link)
+	err := link.Run(ctx, func(message any) error { return r.handlePeerMessage(id, message) })
+	r.removePeer(id)
 	r.log.Info("gateway_lost", zap.String("gateway", string(name)), logger.Error(err))
 }
 
@@ -108,35 +109,37 @@
 	r.log.Info("gateway_linked", zap.String("gateway", string(welcome.Entry)))
 	r.linker.Linked(p.Link)
 	defer r.linker.Unlinked(p.Link)
-	r.addPeer(link)
-	err = link.Run(ctx, r.handlePeerMessage)
-	r.removePeer(link)
+	id := r.addPeer(link)
+	err = link.Run(ctx, func(message any) error { return r.handlePeerMessage(id, message) })
+	r.removePeer(id)
 	r.log.Info("gateway_lost", zap.String("gateway", string(welcome.Entry)), logger.Error(err))
 	return true
 }
 
 // addPeer registers a link with another gateway for updates, and sends the current
-// directory and manifest on it.
-func (r *Runner) addPeer(link *connector.Link) {
+// directory on it and which manifest this gateway has.
+func (r *Runner) addPeer(link *connector.Link) distributor.LinkID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.peerLinks[link] = true
+	r.lastPeer++
+	id := r.lastPeer
+	r.peerLinks[id] = link
 	r.send(link, &selector.Directory{Gateways: r.linker.Known()})
-	if m := r.router.Manifest(); m.Version > 0 {
-		r.sendManifest(link, &m)
-	}
+	r.distribute(r.distributor.LinkOpened(id))
+	return id
 }
 
 // removePeer removes a link that has ended.
-func (r *Runner) removePeer(link *connector.Link) {
+func (r *Runner) removePeer(id distributor.LinkID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.peerLinks, link)
+	delete(r.peerLinks, id)
 	r.counters.peerLinksLost.Inc()
+	r.distribute(r.distributor.LinkClosed(r.clock(), id))
 }
 
 // handlePeerMessage handles one message of another gateway.
-func (r *Runner) handlePeerMessage(message any) error {
+func (r *Runner) handlePeerMessage(id distributor.LinkID, message any) error {
 	r.counters.messagesReceived.Inc()
 	switch m := message.(type) {
 	case *registrar.Heartbeat:
@@ -145,6 +148,14 @@
 	case *router.Manifest:
 		r.counters.manifestsReceived.Inc()
 		r.adoptManifest(*m, "gateway")
+	case *distributor.Announcement:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.distribute(r.distributor.HandleAnnouncement(r.clock(), id, m))
+	case *distributor.Request:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.distribute(r.distributor.HandleRequest(r.clock(), id, m))
 	default:
 		return &connector.UnexpectedMessageError{Message: message}
 	}
@@ -165,13 +176,13 @@
 	for _, link := range r.agentLinks {
 		r.send(link, directory)
 	}
-	for link := range r.peerLinks {
+	for _, link := range r.peerLinks {
 		r.send(link, directory)
 	}
 }
 
-// adoptManifest adopts a manifest that is newer than the current one and passes it on to
-// the gateways that are linked.
+// adoptManifest adopts a manifest that is newer than the current one, and announces it to the
+// gateways that are linked.
 func (r *Runner) adoptManifest(m router.Manifest, source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -183,13 +194,24 @@
 		close(r.firstManifest)
 	}
 	r.log.Info("manifest_adopted", zap.Uint64("version", m.Version), zap.Int("routes", len(m.Routes)), zap.String("source", source))
-	for link := range r.peerLinks {
-		r.sendManifest(link, &m)
-	}
+	r.distribute(r.distributor.Adopted(m.Version))
 }
 
-// sendManifest sends a manifest to another gateway.
-func (r *Runner) sendManifest(link *connector.Link, m *router.Manifest) {
-	r.counters.manifestsSent.Inc()
-	r.send(link, m)
+// distribute carries out the effects of a decision about the distribution of manifests. The
+// caller holds the lock.
+func (r *Runner) distribute(effects []distributor.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case distributor.Send:
+			if m, ok := e.Message.(*distributor.Request); ok {
+				r.log.Info("manifest_requested", zap.Uint64("have", m.Have))
+			}
+			r.send(r.peerLinks[e.To], e.Message)
+		case distributor.SendManifest:
+			m := r.router.Manifest()
+			r.counters.manifestsSent.Inc()
+			r.log.Info("manifest_sent", zap.Uint64("version", m.Version))
+			r.send(r.peerLinks[e.To], &m)
+		}
+	}
 }
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -1,6 +1,6 @@
 // Package runner runs the gateway process: it serves callers, maintains the links to
 // agents and other gateways, and follows the manifest in the store. The decisions are
-// made in packages coordinator, router and selector; this package carries them out.
+// made in packages coordinator, router, distributor and selector; this package carries them out.
 package runner
 
 import (
@@ -15,6 +15,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/core/supervisor"
 	"github.com/dandeliongrade/dandeliongrade/internal/link/connector"
+	"github.com/dandeliongrade/dandeliongrade/internal/manifest/distributor"
 	"github.com/dandeliongrade/dandeliongrade/internal/manifest/router"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/linker"
@@ -62,10 +63,13 @@
 	mu          sync.Mutex
 	coordinator coordinator.Coordinator
 	router      router.Router
+	distributor distributor.Distributor
 	// agentLinks holds the links that agents dialled, one for each agent, and peerLinks
 	// the links with other gateways, whichever side dialled.
 	agentLinks map[identifier.Agent]*connector.Link
-	peerLinks  map[*connector.Link]bool
+	peerLinks  map[distributor.LinkID]*connector.Link
+	// lastPeer is the highest key of peerLinks so far.
+	lastPeer distributor.LinkID
 	// callers holds, for each job, the channel of the caller that waits for its answer.
 	callers map[specifier.JobID]chan coordinator.Answer
 	// firstManifest is closed when the first manifest has been adopted.
@@ -86,7 +90,7 @@
 		linker:        linker.New(selector.Process{Name: string(settings.Name), DataCentre: settings.DataCentre}, settings.LinkAddr(), clock),
 		coordinator:   coordinator.Coordinator{Zone: string(settings.DataCentre)},
 		agentLinks:    make(map[identifier.Agent]*connector.Link),
-		peerLinks:     make(map[*connector.Link]bool),
+		peerLinks:     make(map[distributor.LinkID]*connector.Link),
 		callers:       make(map[specifier.JobID]chan coordinator.Answer),
 		firstManifest: make(chan struct{}),
 		idle:          make(chan struct{}, 1),
@@ -136,6 +140,7 @@
 			r.mu.Lock()
 			now := r.clock()
 			r.perform(r.coordinator.Tick(now))
+			r.distribute(r.distributor.Tick(now))
 			r.mu.Unlock()
 			r.linker.Expire()
 		case <-ctx.Done():
--- a/internal/link/encoder/encoder.go
+++ b/internal/link/encoder/encoder.go
@@ -15,6 +15,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/job/allocator"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/owner"
 	"github.com/dandeliongrade/dandeliongrade/internal/job/starter"
+	"github.com/dandeliongrade/dandeliongrade/internal/manifest/distributor"
 	"github.com/dandeliongrade/dandeliongrade/internal/manifest/router"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/extender"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/registrar"
@@ -65,6 +66,8 @@
 	38: reflect.TypeFor[router.Manifest](),
 	39: reflect.TypeFor[selector.Directory](),
 	40: reflect.TypeFor[executor.Release](),
+	41: reflect.TypeFor[distributor.Announcement](),
+	42: reflect.TypeFor[distributor.Request](),
 }
 
 // typeCodes is the inverse of messageTypes.
