Resume the feed of the store where it was after a failed call

Cause: a call that failed dropped the position in the feed, so that the next one read the whole table within 800 ms: 0.9 MB of manifest for a change of one route, on a link that was too slow already. Class: a failure that makes the next try more expensive.

The store's feed may be continued from any position; only 410 says that history is gone.

--- a/internal/gateway/runner/follow.go
+++ b/internal/gateway/runner/follow.go
@@ -37,7 +37,6 @@
 		m, found, version, err := r.deps.Store.Manifest(ctx, position, longPollTimeout)
 		position = version
 		if err != nil {
-			position = 0
 			return false, err
 		}
 		if found {
@@ -54,7 +53,6 @@
 		gateways, skipped, version, err := r.deps.Store.Gateways(ctx, position, longPollTimeout)
 		position = version
 		if err != nil {
-			position = 0
 			return false, err
 		}
 		if skipped > 0 {
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -35,11 +35,12 @@
 	Announce(ctx context.Context, name identifier.Entry, gateway selector.Gateway) error
 	// Gateways returns the gateways stored after a version, waiting up to wait for a
 	// change, or all gateways at once if after is zero. It also returns the number of
-	// rows skipped because they are invalid, and the version to continue from.
+	// rows skipped because they are invalid, and the version to continue from, also after
+	// an error.
 	Gateways(ctx context.Context, after uint64, wait time.Duration) (gateways []selector.Gateway, skipped int, version uint64, err error)
 	// Manifest returns the latest manifest stored after a version, waiting up to wait for
 	// one, or the current manifest at once if after is zero. It also returns the version to
-	// continue from.
+	// continue from, also after an error.
 	Manifest(ctx context.Context, after uint64, wait time.Duration) (m router.Manifest, found bool, version uint64, err error)
 }
 
