Measure the timeouts of a link by progress, not by the size of a message

Cause: a write had to pass whole within 400 ms, and a message had to arrive whole within the silence timeout of 2.5 s. A link that carried data all the time was closed because the message on it was large, and the message was lost with it. Same class as the timeouts of the store's calls: a bound on a transfer where a bound on silence is meant.

Evidence: TestLargeMessageOnSlowConnection failed before: "the link ended: io: read/write on closed pipe" after 0.2 s, the timeout of the test, while 16 KiB arrived every 20 ms.

Change: the timeout of a write starts anew every 64 KiB, that of a read with each read.

Measured: the test passes; a peer that sends nothing is still noticed after the timeout (TestSilenceTimeout).

--- a/internal/link/connector/link.go
+++ b/internal/link/connector/link.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,14 +23,15 @@
 type Timing struct {
 	// HeartbeatInterval is the interval at which heartbeats are sent to the peer.
 	HeartbeatInterval time.Duration
-	// SilenceTimeout is the longest time without a message from the peer; after it, the
+	// SilenceTimeout is the longest time without a byte from the peer; after it, the
 	// connection is closed.
 	SilenceTimeout time.Duration
-	// ResponseTimeout bounds the handshake and each write. Zero stands for SilenceTimeout.
+	// ResponseTimeout bounds the handshake, and the writing of each maxWriteBytes. Zero
+	// stands for SilenceTimeout.
 	ResponseTimeout time.Duration
 }
 
-// responseTimeout returns the bound on the handshake and on each write.
+// responseTimeout returns the bound on the handshake and on the writing of maxWriteBytes.
 func (t *Timing) responseTimeout() time.Duration {
 	if t.ResponseTimeout > 0 {
 		return t.ResponseTimeout
@@ -41,6 +43,10 @@
 // accumulate is treated as one that is silent: the link is closed.
 const maxPendingBytes = 64 << 20
 
+// maxWriteBytes is the number of bytes after which the timeout of a write starts anew, so that a
+// large message may take longer than the timeout. A link of 2 Mbit/s carries it in 260 ms.
+const maxWriteBytes = 64 << 10
+
 // errPeerNotReading is returned when the peer does not read fast enough.
 var errPeerNotReading = errors.New("the peer does not read from the link; the link is closed and will be dialled again")
 
@@ -113,12 +119,9 @@
 
 // read decodes messages and passes them to handle until one of the steps fails.
 func (l *Link) read(handle func(message any) error) error {
-	r := bufio.NewReader(l.conn)
+	r := bufio.NewReader(&progressReader{l.conn, l.timing.SilenceTimeout})
 	var buf []byte
 	for {
-		if err := l.conn.SetReadDeadline(time.Now().Add(l.timing.SilenceTimeout)); err != nil {
-			return err
-		}
 		body, err := framer.Read(r, buf)
 		if err != nil {
 			return err
@@ -134,6 +137,19 @@
 	}
 }
 
+// progressReader reads from a connection, and fails when nothing arrives within the timeout.
+type progressReader struct {
+	conn    net.Conn
+	timeout time.Duration
+}
+
+func (r *progressReader) Read(b []byte) (int, error) {
+	if err := r.conn.SetReadDeadline(time.Now().Add(r.timeout)); err != nil {
+		return 0, err
+	}
+	return r.conn.Read(b)
+}
+
 // PanicError reports that the handler of a message panicked.
 type PanicError struct {
 	Message any
@@ -193,8 +209,7 @@
 		case <-l.wake:
 			wrote, beating = wrote || !beating, false
 			batch = l.takePending(batch)
-			_ = l.conn.SetWriteDeadline(time.Now().Add(l.timing.responseTimeout()))
-			if _, err := l.conn.Write(batch); err != nil {
+			if err := l.writeBatch(batch); err != nil {
 				_ = l.conn.Close()
 				done <- errors.Wrap(err, "write to a link")
 				return
@@ -203,6 +218,19 @@
 	}
 }
 
+// writeBatch writes b, and fails when a part of it is not accepted within the timeout.
+func (l *Link) writeBatch(b []byte) error {
+	for part := range slices.Chunk(b, maxWriteBytes) {
+		if err := l.conn.SetWriteDeadline(time.Now().Add(l.timing.responseTimeout())); err != nil {
+			return err
+		}
+		if _, err := l.conn.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // takePending returns the pending bytes, and reuses the buffer of the previous batch for
 // the next one.
 func (l *Link) takePending(old []byte) []byte {
--- a/internal/link/connector/link_test.go
+++ b/internal/link/connector/link_test.go
@@ -117,3 +117,55 @@
 	<-ended
 	_ = remote.Close()
 }
+
+// slowConn is a connection that carries slowConnChunk bytes every slowConnPause.
+type slowConn struct {
+	net.Conn
+}
+
+const (
+	slowConnChunk = 16 << 10
+	slowConnPause = 20 * time.Millisecond
+)
+
+func (c slowConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b[:min(len(b), slowConnChunk)])
+	if n > 1<<10 {
+		time.Sleep(slowConnPause)
+	}
+	return n, err
+}
+
+// TestLargeMessageOnSlowConnection sends a message that takes longer than the timeouts of a
+// link. It guards against timeouts that end a link which carries data all the time.
+func TestLargeMessageOnSlowConnection(t *testing.T) {
+	local, remote := net.Pipe()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	sender, receiver := NewLink(local, testTiming), NewLink(slowConn{remote}, testTiming)
+	received := make(chan any, 1)
+	ended := make(chan error, 2)
+	go func() { ended <- sender.Run(ctx, func(any) error { return nil }) }()
+	go func() {
+		ended <- receiver.Run(ctx, func(m any) error {
+			if peers, ok := m.(*registrar.Peers); ok {
+				received <- peers
+			}
+			return nil
+		})
+	}()
+	var peers registrar.Peers
+	for range 30_000 {
+		peers.Entries = append(peers.Entries, registrar.Peer{Entry: "entry-with-a-long-name", Link: netip.MustParseAddrPort("10.0.0.1:7000")})
+	}
+	assert.NilError(t, sender.Send(&peers))
+	select {
+	case m := <-received:
+		assert.Equal(t, len(m.(*registrar.Peers).Entries), len(peers.Entries))
+	case err := <-ended:
+		t.Fatalf("the link ended: %v", err)
+	}
+	stop()
+	<-ended
+	<-ended
+}
