Log the exit of a worker with the runs that were on it

The logs had only the end of each run, as lapsed, which a lost lease has as well. Which tasks were on a worker when it died could be found only by comparing times.

--- a/internal/sidecar/runner/runner.go
+++ b/internal/sidecar/runner/runner.go
@@ -83,6 +83,7 @@
 type counters struct {
 	set                                                                     *metrics.Set
 	starts, ends, refused, unansweredOrders, messagesSent, messagesReceived *metrics.Counter
+	workerExits                                                             *metrics.Counter
 }
 
 // newCounters registers the metrics in a set of their own.
@@ -97,6 +98,7 @@
 		unansweredOrders: count("orders_unanswered_total"),
 		messagesSent:     count("messages_sent_total"),
 		messagesReceived: count("messages_received_total"),
+		workerExits:      count("worker_exits_total"),
 	}
 }
 
--- a/internal/transient/executor/effects.go
+++ b/internal/transient/executor/effects.go
@@ -7,7 +7,7 @@
 )
 
 // Effect is an action that the process must carry out: a Send, CloseLink, DeferEnd,
-// StartRun, StopRun or HoldNow.
+// StartRun, StopRun, HoldNow or WorkerExited.
 type Effect interface{ effect() }
 
 // Send sends a message to a gateway.
@@ -50,9 +50,17 @@
 // HoldNow asks for the next hold to be sent at once.
 type HoldNow struct{}
 
-func (Send) effect()      {}
-func (CloseLink) effect() {}
-func (DeferEnd) effect()  {}
-func (StartRun) effect()  {}
-func (StopRun) effect()   {}
-func (HoldNow) effect()   {}
+// WorkerExited reports that the worker's process has ended, to be logged.
+type WorkerExited struct {
+	Worker WorkerIncarnation
+	// Runs holds the runs that it may have been running.
+	Runs []RunID
+}
+
+func (Send) effect()         {}
+func (CloseLink) effect()    {}
+func (DeferEnd) effect()     {}
+func (StartRun) effect()     {}
+func (StopRun) effect()      {}
+func (HoldNow) effect()      {}
+func (WorkerExited) effect() {}
--- a/internal/transient/executor/executor_test.go
+++ b/internal/transient/executor/executor_test.go
@@ -146,6 +146,8 @@
 			fmt.Fprintf(&out, "stop run %s fence=%d\n", e.Run, e.Fence)
 		case HoldNow:
 			out.WriteString("hold now\n")
+		case WorkerExited:
+			fmt.Fprintf(&out, "worker exited runs=%s\n", e.Runs)
 		}
 	}
 	return out.String()
