--- a/internal/transient/simulator/load_test.go
+++ b/internal/transient/simulator/load_test.go
@@ -60,6 +60,9 @@
 	disconnectShare float64
 	// failShare of the jobs in the peak consist of tasks that fail on every attempt.
 	failShare float64
+	// crashShare of the lookup jobs in the peak have a first task that crashes the worker that
+	// starts it.
+	crashShare float64
 	// disturb is called at the middle of the peak.
 	disturb func(*simulation)
 }
@@ -151,7 +154,8 @@
 			n++
 			id, gateway := n, random.IntN(loadGateways)
 			disconnects, fails := peak && random.Float64() < p.disconnectShare, peak && random.Float64() < p.failShare
-			s.after(at, func() { s.submitClass(c, id, gateway, disconnects, fails) })
+			crashes := peak && i == 0 && p.crashShare > 0 && random.Float64() < p.crashShare
+			s.after(at, func() { s.submitClass(c, id, gateway, disconnects, fails, crashes) })
 			at += time.Duration(random.ExpFloat64() / (c.rate * factor) * float64(time.Second))
 		}
 	}
@@ -163,20 +167,23 @@
 }
 
 // submitClass adds the caller of a job of a class.
-func (s *simulation) submitClass(c class, n, gateway int, disconnects, fails bool) {
+func (s *simulation) submitClass(c class, n, gateway int, disconnects, fails, crashes bool) {
 	id := specifier.JobID(fmt.Sprintf("%s%04d", c.name, n))
 	random := rand.New(rand.NewPCG(hash(string(id)), 0))
 	tasks := max(1, int(math.Round(float64(c.tasks)*(0.6+0.8*random.Float64()))))
 	spec := c.run.String()
-	if fails {
+	switch {
+	case fails:
 		spec = "fail " + spec
+	case crashes:
+		spec = crashingSpec + spec
 	}
 	longest := time.Duration(0)
 	for i := range tasks {
 		longest = max(longest, taskDuration(c.run, id, i))
 	}
 	objective := time.Duration(1.6*float64(longest)) + 60*time.Millisecond
-	caller := &caller{sim: s, class: c.name, sent: s.now, objective: objective, gateway: s.gateways[gateway], owed: !disconnects && !fails, job: specifier.Job{
+	caller := &caller{sim: s, class: c.name, sent: s.now, objective: objective, gateway: s.gateways[gateway], owed: !disconnects && !fails && !crashes, job: specifier.Job{
 		ID:       id,
 		Queue:    specifier.Queue{Name: c.name, Service: "counter", Priority: c.priority, MaxAttempts: 3, Stretch: 1.6, BaseObjective: 60 * time.Millisecond},
 		Spec:     spec,
@@ -214,7 +221,7 @@
 // specified returns the run time that the spec of a run states, and whether the run fails. It
 // returns false if the spec is empty.
 func specified(s executor.StartRun) (d time.Duration, fails, ok bool) {
-	text, fails := strings.CutPrefix(s.Spec, "fail ")
+	text, fails := strings.CutPrefix(strings.TrimPrefix(s.Spec, crashingSpec), "fail ")
 	mean, err := time.ParseDuration(text)
 	if err != nil {
 		return 0, false, false
--- a/internal/transient/simulator/simulation_test.go
+++ b/internal/transient/simulator/simulation_test.go
@@ -52,6 +52,9 @@
 	starts, refused int
 	// wasted is the run time of runs that did not succeed.
 	wasted time.Duration
+	// crashed counts, for each task, the workers that it has crashed, and startsAfterCrashes its
+	// starts after the third.
+	crashed, startsAfterCrashes map[string]int
 	// completed and notRun count the answers of these states.
 	completed, notRun int
 }
@@ -89,7 +92,7 @@
 
 // newSimulation boots gateways, and agents with a worker each.
 func newSimulation(seed uint64, gateways, agents int) *simulation {
-	s := &simulation{now: epoch, random: rand.New(rand.NewPCG(seed, 1))}
+	s := &simulation{now: epoch, random: rand.New(rand.NewPCG(seed, 1)), crashed: make(map[string]int), startsAfterCrashes: make(map[string]int)}
 	for i := range gateways {
 		g := &gateway{sim: s, name: identifier.Entry(fmt.Sprintf("g%d", i))}
 		s.gateways = append(s.gateways, g)
--- a/internal/transient/simulator/worker_test.go
+++ b/internal/transient/simulator/worker_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
@@ -188,7 +189,16 @@
 	w.sim.logf("worker %s starts %s", w.id, s.Run)
 	w.sim.checkSingleRun(w, s.Run)
 	w.extend(leaseEnd)
+	w.sim.checkCrashBudget(s.Run)
 	generation := w.generation
+	if strings.HasPrefix(s.Spec, crashingSpec) && s.Run.Index == 0 {
+		w.sim.after(crashDelay, func() {
+			if w.generation == generation {
+				w.sim.crashed[taskOf(s.Run)]++
+				w.crash(false, crashDowntime)
+			}
+		})
+	}
 	if !w.hanging {
 		w.sim.after(duration, func() {
 			if w.generation == generation {
