Give up tasks that crash workers, and confine their queues

Callers saw: for ten seconds next to nothing was served, of any class, while a tenth of one class had a task that crashes the worker that starts it.

Cause: a run that ended with its worker counted as lost, not as failed, and was tried again without end. One task took down all eleven workers within a second, one every 110 ms, three times in ten seconds. The class: a retry that spreads what it retries.

Change: a sidecar reports the end of its worker's process to all its gateways, with the runs on it, and again on each new link, so that the count outlives gateways and follows a job that is submitted elsewhere. The only task that was on two crashed workers is blamed, and its job is answered as failed. Its queue goes to a quarter of the workers until it has proved sound; the others keep the rest. Suspects are started apart.

TestFullMessages now encodes and decodes each type of message with everything set.

--- a/internal/gateway/runner/endpoints.go
+++ b/internal/gateway/runner/endpoints.go
@@ -47,6 +47,7 @@
 			coordinator.EventRunLost:        count("runs_lost_total"),
 			coordinator.EventWorkerStalled:  count("workers_stalled_total"),
 			coordinator.EventRefusedInError: count("jobs_refused_in_error_total"),
+			coordinator.EventTaskBlamed:     count("tasks_blamed_total"),
 		},
 		answerSeconds: set.NewHistogram("dandeliongrade_gateway_answer_seconds"),
 	}
--- a/internal/gateway/runner/links.go
+++ b/internal/gateway/runner/links.go
@@ -81,6 +81,8 @@
 		r.perform(r.coordinator.HandleRelease(now, agent))
 	case *executor.Ended:
 		r.perform(r.coordinator.HandleEnded(now, agent, m))
+	case *executor.Crash:
+		r.perform(r.coordinator.HandleCrash(now, agent, m))
 	default:
 		return &connector.UnexpectedMessageError{Message: message}
 	}
--- a/internal/link/encoder/encoder.go
+++ b/internal/link/encoder/encoder.go
@@ -68,6 +68,7 @@
 	40: reflect.TypeFor[executor.Release](),
 	41: reflect.TypeFor[distributor.Announcement](),
 	42: reflect.TypeFor[distributor.Request](),
+	43: reflect.TypeFor[executor.Crash](),
 }
 
 // typeCodes is the inverse of messageTypes.
--- a/internal/link/encoder/encoder_test.go
+++ b/internal/link/encoder/encoder_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/netip"
 	"reflect"
 	"strings"
 	"testing"
@@ -102,3 +103,60 @@
 		}
 	})
 }
+
+// TestFullMessages encodes and decodes a message of each type in which all fields are set and
+// all lists are long. It guards against types that can be sent but not received, which would
+// end each link that carries one.
+func TestFullMessages(t *testing.T) {
+	for code, typ := range messageTypes {
+		if typ == nil {
+			continue
+		}
+		m := reflect.New(typ)
+		fill(m.Elem())
+		body, err := Append(nil, m.Interface())
+		assert.NilError(t, err, "%s", typ)
+		decoded, err := Decode(body)
+		assert.NilError(t, err, "type %d, %s", code, typ)
+		assert.Equal(t, fmt.Sprintf("%+v", decoded), fmt.Sprintf("%+v", m.Interface()), "%s", typ)
+	}
+}
+
+// fill sets a value and all that it contains to something other than zero.
+func fill(v reflect.Value) {
+	switch v.Interface().(type) {
+	case time.Time:
+		v.Set(reflect.ValueOf(time.UnixMilli(1_796_369_950_235)))
+		return
+	case netip.AddrPort:
+		v.Set(reflect.ValueOf(netip.MustParseAddrPort("10.0.0.1:7000")))
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			if v.Type().Field(i).IsExported() {
+				fill(v.Field(i))
+			}
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 20, 20))
+		for i := range v.Len() {
+			fill(v.Index(i))
+		}
+	case reflect.Array:
+		for i := range v.Len() {
+			fill(v.Index(i))
+		}
+	case reflect.String:
+		v.SetString("text")
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		v.SetInt(1)
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		v.SetUint(1)
+	case reflect.Float32, reflect.Float64:
+		v.SetFloat(1)
+	}
+}
--- a/internal/transient/coordinator/agents.go
+++ b/internal/transient/coordinator/agents.go
@@ -33,6 +33,8 @@
 	runs     map[executor.RunID]*job
 	health   health
 	slowdown slowdown
+	// crashedAt is when the worker last crashed, and backAt when it was available again.
+	crashedAt, backAt time.Time
 	// sentBacklog is the backlog that was last sent to the agent.
 	sentBacklog executor.Backlog
 	// staleUntil is set while runs that were sent to an earlier incarnation of the agent
@@ -80,6 +82,10 @@
 	}
 	a.attached, a.lastHeard, a.status = true, now, m.Status
 	var effects []Effect
+	for i := range m.Crashes {
+		effects = append(effects, c.HandleCrash(now, name, &m.Crashes[i])...)
+	}
+	c.noteAvailability(now, a)
 	for _, end := range m.Ends {
 		effects = append(effects, c.runEnded(now, a, &end)...)
 	}
@@ -103,6 +109,7 @@
 		return nil
 	}
 	a.lastHeard, a.status = now, *m
+	c.noteAvailability(now, a)
 	var effects []Effect
 	if m.Available && !a.staleUntil.IsZero() {
 		effects = c.lapseUnlisted(now, a, nil)
@@ -211,6 +218,7 @@
 	t.active, t.stopping = false, false
 	if m.Outcome == executor.Done {
 		c.observe(a, j, m.Took)
+		c.clearTask(now, j, m.Run.Index)
 	}
 	if !stopping || m.Outcome == executor.Done {
 		a.health.runEnded(now, m, j.expectedRun)
--- a/internal/transient/coordinator/coordinator.go
+++ b/internal/transient/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/load/forecaster"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/quarantiner"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
 )
 
@@ -36,6 +37,12 @@
 	refusedUntil []time.Time
 	// lastAvailable is when a worker of each service was available last.
 	lastAvailable map[string]time.Time
+	// quarantine tells which tasks and queues crash workers. lanes holds the agents whose workers
+	// take the tasks of confined queues, and downtime is how long the last worker that crashed was
+	// down.
+	quarantine quarantiner.Quarantiner
+	lanes      map[*agent]bool
+	downtime   time.Duration
 	// lastNumber is the number of the last run.
 	lastNumber uint64
 	// lastTick is the time of the last Tick. No task is started before resumeAt.
@@ -105,6 +112,9 @@
 		}
 		return nil
 	}
+	if a, given := c.givenUpAnswer(j.ID); given {
+		return []Effect{Reply{Job: j.ID, Answer: a, Cause: causeCrashes}}
+	}
 	cause := c.unplaceableCause(&j)
 	if !c.drainEnd.IsZero() && now.Add(likelyDuration(c.estimator.expectedRunTime(&j))).After(c.drainEnd) {
 		cause = "gateway_stops"
@@ -258,9 +268,11 @@
 	effects = append(effects, c.closeLinks(now)...)
 	effects = append(effects, c.expireRuns(now)...)
 	effects = append(effects, c.checkOverdue(now)...)
+	effects = append(effects, c.tickQuarantine(now)...)
 	c.markLate(now)
 	effects = append(effects, c.place(now)...)
-	c.forecaster.SetBacklogged(now, len(c.waiting) > 0)
+	c.forecaster.SetBacklogged(now, c.openBacklog())
+	effects = append(effects, c.refuseConfined(now)...)
 	return append(effects, c.refuseUnservable(now)...)
 }
 
--- a/internal/transient/coordinator/coordinator_test.go
+++ b/internal/transient/coordinator/coordinator_test.go
@@ -15,7 +15,7 @@
 
 func TestCoordinator(t *testing.T) {
 	scripter.Run(t, "testdata/*.txtar", func() scripter.Step {
-		d := &driver{runs: make(map[string]executor.RunID)}
+		d := &driver{runs: make(map[string]executor.RunID), queues: make(map[string]string)}
 		return d.step
 	})
 }
@@ -25,6 +25,8 @@
 	c Coordinator
 	// runs holds the latest run of each task, keyed as JOB#INDEX.
 	runs map[string]executor.RunID
+	// queues holds the queue of each job.
+	queues map[string]string
 	// permitSequence is the sequence number of the last permit request.
 	permitSequence uint64
 }
@@ -35,17 +37,20 @@
 //	submit JOB TASKS [queue=NAME] [priority=N] [attempts=N] [cpu=N] [estimate=D] [budget=D] [rack=R] [label=L]
 //	caller_left JOB; cancel JOB; state JOB; waiting QUEUE; tick; drain LIMIT; stop
 //	link AGENT INCARNATION; unlink AGENT
-//	attach AGENT CPU [unavailable] [label=L] [has=TASK]... [ended=TASK:OUTCOME]... [no_request]
+//	attach AGENT CPU [unavailable] [label=L] [has=TASK]... [ended=TASK:OUTCOME]... [crash=STARTED:TASK]... [no_request]
 //	release AGENT
 //	status AGENT CPU [unavailable] [stalled]; load AGENT CPU; request_permit AGENT
 //	ended AGENT TASK OUTCOME [reason=R] [took=D]
+//	crash AGENT STARTED [TASK]...
 func (d *driver) step(t *testing.T, now time.Time, words []string) string {
 	args, options := split(words[1:])
 	agent := identifier.Agent(args[0])
 	var effects []Effect
 	switch words[0] {
 	case "submit":
-		effects = d.c.Submit(now, parseJob(t, args, options))
+		job := parseJob(t, args, options)
+		d.queues[args[0]] = job.Queue.Name
+		effects = d.c.Submit(now, job)
 	case "caller_left":
 		effects = d.c.CallerLeft(now, specifier.JobID(args[0]))
 	case "cancel":
@@ -80,6 +85,8 @@
 		effects = d.c.HandleLoad(now, agent, specifier.Resources{CPU: scripter.Number(t, args[1])})
 	case "request_permit":
 		effects = d.c.HandlePermitRequest(now, agent, d.nextRequest())
+	case "crash":
+		effects = d.c.HandleCrash(now, agent, d.parseCrash(t, args[1], words[3:]))
 	case "ended":
 		m := &executor.Ended{Run: d.runs[args[1]], Outcome: parseOutcome(t, args[2]), Reason: executor.Reason(first(options["reason"]))}
 		if took := first(options["took"]); took != "" {
@@ -114,6 +121,10 @@
 			}
 			out.WriteString("\n")
 		case LogEvent:
+			if e.Agent == "" {
+				fmt.Fprintf(&out, "log %s: %s\n", e.Name, e.Cause)
+				continue
+			}
 			fmt.Fprintf(&out, "log %s %s at %s: %s\n", e.Name, taskOf(e.Run), e.Agent, e.Cause)
 		}
 	}
@@ -136,16 +147,39 @@
 	return fmt.Sprintf("%T", message)
 }
 
-// parseAttach parses an Attach message. A run that was never started gets number 1.
+// parseRun returns the latest run of a task, or one with number 1 if it was never started.
+func (d *driver) parseRun(t *testing.T, task string) executor.RunID {
+	if run, known := d.runs[task]; known {
+		return run
+	}
+	job, index, _ := strings.Cut(task, "#")
+	return executor.RunID{Job: specifier.JobID(job), Index: scripter.Number(t, index), Number: 1}
+}
+
+// parseCrash parses the crash of a worker that was started at a time in milliseconds. All tasks
+// had been accepted by the worker.
+func (d *driver) parseCrash(t *testing.T, startedAt string, tasks []string) *executor.Crash {
+	m := &executor.Crash{Worker: "w", StartedAt: time.UnixMilli(int64(scripter.Number(t, startedAt)))}
+	for _, task := range tasks {
+		run := d.parseRun(t, task)
+		queue := d.queues[string(run.Job)]
+		if queue == "" {
+			queue = "peek"
+		}
+		m.Runs = append(m.Runs, executor.CrashedRun{Run: run, Queue: queue, Confirmed: true})
+	}
+	return m
+}
+
+// parseAttach parses an Attach message.
 func (d *driver) parseAttach(t *testing.T, args []string, options map[string][]string) *executor.Attach {
 	m := &executor.Attach{Status: *parseStatus(t, args, options)}
 	for _, task := range options["has"] {
-		run, known := d.runs[task]
-		if !known {
-			job, index, _ := strings.Cut(task, "#")
-			run = executor.RunID{Job: specifier.JobID(job), Index: scripter.Number(t, index), Number: 1}
-		}
-		m.Runs = append(m.Runs, run)
+		m.Runs = append(m.Runs, d.parseRun(t, task))
+	}
+	for _, crash := range options["crash"] {
+		startedAt, task, _ := strings.Cut(crash, ":")
+		m.Crashes = append(m.Crashes, *d.parseCrash(t, startedAt, []string{task}))
 	}
 	for _, end := range options["ended"] {
 		task, outcome, _ := strings.Cut(end, ":")
--- a/internal/transient/coordinator/effects.go
+++ b/internal/transient/coordinator/effects.go
@@ -83,11 +83,23 @@
 	EventRunLost        = "run_lost"
 	EventWorkerStalled  = "worker_stalled"
 	EventRefusedInError = "refused_in_error"
+	// EventTaskBlamed names a task that crashes workers. Its cause is the queue, which is
+	// confined until EventQueueReleased.
+	EventTaskBlamed    = "task_blamed"
+	EventQueueReleased = "queue_released"
 )
 
 // CauseDeadline is the cause of an answer that is given because the caller stops waiting.
 const CauseDeadline = "deadline"
 
+const (
+	// causeCrashes is the cause of the answer of a job with a task that crashes workers.
+	causeCrashes = "workers_crashed"
+	// causeConfined is the cause of an answer that is given because the queue of the job is
+	// confined to workers that cannot run it in time.
+	causeConfined = "queue_confined"
+)
+
 // LogEvent is a decision to be logged.
 type LogEvent struct {
 	// Name is one of the event names.
--- a/internal/transient/coordinator/placement.go
+++ b/internal/transient/coordinator/placement.go
@@ -77,19 +77,21 @@
 	}
 	var effects []Effect
 	var unmet []requirement
-	for i := 0; i < len(c.waiting) && i < maxSkipped; {
+	for i, skipped := 0, 0; i < len(c.waiting) && skipped < maxSkipped; {
 		j := c.waiting[i]
-		if slices.ContainsFunc(unmet, j.requirement().exceeds) {
-			i++
-			continue
+		required := c.requirement(j)
+		if !slices.ContainsFunc(unmet, required.exceeds) {
+			effects = append(effects, c.placeJob(now, j)...)
+			if len(j.pending) == 0 {
+				c.waiting = slices.Delete(c.waiting, i, i+1)
+				continue
+			}
+			unmet = append(unmet, required)
 		}
-		effects = append(effects, c.placeJob(now, j)...)
-		if len(j.pending) > 0 {
-			unmet = append(unmet, j.requirement())
-			i++
-			continue
+		if !required.confined {
+			skipped++
 		}
-		c.waiting = slices.Delete(c.waiting, i, i+1)
+		i++
 	}
 	return append(effects, c.sendBacklog()...)
 }
@@ -98,16 +100,18 @@
 type requirement struct {
 	service, label string
 	demand         specifier.Resources
+	// confined is set if only the lanes of the service can take them.
+	confined bool
 }
 
 // exceeds reports whether no agent can take a task with requirement r if none can take one
 // with requirement unmet.
 func (r requirement) exceeds(unmet requirement) bool {
-	return r.service == unmet.service && r.label == unmet.label && unmet.demand.FitsIn(r.demand)
+	return r.service == unmet.service && r.label == unmet.label && r.confined == unmet.confined && unmet.demand.FitsIn(r.demand)
 }
 
-func (j *job) requirement() requirement {
-	return requirement{j.Queue.Service, j.Label, j.Demand}
+func (c *Coordinator) requirement(j *job) requirement {
+	return requirement{j.Queue.Service, j.Label, j.Demand, c.confined(j)}
 }
 
 // placeJob starts pending tasks of a job until no agent can take the next one.
@@ -115,7 +119,7 @@
 	var effects []Effect
 	for len(j.pending) > 0 {
 		index := j.pending[0]
-		a := c.chooseAgent(now, j, &j.tasks[index])
+		a := c.chooseAgent(now, j, index)
 		if a == nil {
 			break
 		}
@@ -140,18 +144,18 @@
 	c.forecaster.Started(now, taskWork(j))
 	j.started, j.lastStart = true, now
 	j.starts++
-	return Send{a.name, &executor.Start{Run: t.run, Service: j.Queue.Service, Spec: j.Spec, Demand: j.Demand, Priority: j.Queue.Priority, Permit: a.grantPermit(now)}}
+	return Send{a.name, &executor.Start{Run: t.run, Queue: j.Queue.Name, Service: j.Queue.Service, Spec: j.Spec, Demand: j.Demand, Priority: j.Queue.Priority, Permit: a.grantPermit(now)}}
 }
 
 // chooseAgent returns the agent with the lowest cost for a task, or nil if none can take it.
-func (c *Coordinator) chooseAgent(now time.Time, j *job, t *task) *agent {
+func (c *Coordinator) chooseAgent(now time.Time, j *job, index int) *agent {
 	var best *agent
 	var bestCost time.Duration
 	for _, a := range c.agents {
-		if !a.admits(now, j) {
+		if !a.admits(now, j) || !c.admitsTask(a, j, index) {
 			continue
 		}
-		cost := c.cost(a, j, t)
+		cost := c.cost(a, j, &j.tasks[index]) + c.crashCost(now, a, j, index)
 		if best == nil || cost < bestCost || (cost == bestCost && a.name < best.name) {
 			best, bestCost = a, cost
 		}
@@ -230,9 +234,17 @@
 // sendBacklog sends the backlog of this gateway to each agent that was sent another one
 // before.
 func (c *Coordinator) sendBacklog() []Effect {
-	backlog := c.backlog()
+	open := c.backlog(func(j *job) bool { return !c.confined(j) })
+	all := open
+	if c.quarantine.AnyConfined() {
+		all = c.backlog(func(*job) bool { return true })
+	}
 	var names []identifier.Agent
 	for _, a := range c.agents {
+		backlog := open
+		if c.lanes[a] {
+			backlog = all
+		}
 		if a.attached && a.sentBacklog != backlog {
 			a.sentBacklog = backlog
 			names = append(names, a.name)
@@ -241,20 +253,26 @@
 	slices.Sort(names)
 	var effects []Effect
 	for _, name := range names {
+		backlog := c.agents[name].sentBacklog
 		effects = append(effects, Send{name, &backlog})
 	}
 	return effects
 }
 
-// backlog returns the backlog of this gateway. Agents offer freed capacity by it when all workers
-// are full. It names the smallest demand, because an offer that no task fits into is wasted.
-func (c *Coordinator) backlog() executor.Backlog {
-	if len(c.waiting) == 0 {
-		return executor.Backlog{}
-	}
-	first := c.waiting[0]
-	b := executor.Backlog{Waiting: true, Priority: first.Queue.Priority, Demand: first.Demand}
-	for _, j := range c.waiting[1:] {
+// backlog returns the backlog of this gateway in those jobs that an agent may take. Agents offer
+// freed capacity by it when all workers are full. It names the smallest demand, because an offer
+// that no task fits into is wasted.
+func (c *Coordinator) backlog(mayTake func(*job) bool) executor.Backlog {
+	var first *job
+	var b executor.Backlog
+	for _, j := range c.waiting {
+		if !mayTake(j) {
+			continue
+		}
+		if first == nil {
+			first = j
+			b = executor.Backlog{Waiting: true, Priority: j.Queue.Priority, Demand: j.Demand}
+		}
 		if j.late != first.late || j.Queue.Priority != first.Queue.Priority {
 			break
 		}
--- a/internal/transient/coordinator/refusal.go
+++ b/internal/transient/coordinator/refusal.go
@@ -39,6 +39,9 @@
 	var refused []refusal
 	ahead := time.Duration(0)
 	for _, j := range c.waiting {
+		if c.confined(j) {
+			continue
+		}
 		ahead += j.work()
 		if j.started {
 			continue
@@ -108,7 +111,7 @@
 	for _, until := range c.refusedUntil {
 		switch {
 		case !now.Before(until):
-		case len(c.waiting) == 0:
+		case !c.openBacklog():
 			effects = append(effects, LogEvent{Name: EventRefusedInError, Cause: "backlog_drained_early"})
 		default:
 			pending = append(pending, until)
--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -71,6 +71,8 @@
 	// fenceStep is the step by which the fencing token was last raised after a refusal.
 	fenceStep uint64
 	draining  bool
+	// crashes holds the latest crashes of the worker, oldest first.
+	crashes []recordedCrash
 }
 
 // gatewayState is the state kept for one incarnation of a gateway.
@@ -121,6 +123,7 @@
 type execution struct {
 	gateway     identifier.Entry
 	incarnation identifier.Incarnation
+	queue       string
 	demand      specifier.Resources
 	priority    int
 	spec        string
@@ -160,7 +163,7 @@
 		x.gateways[gateway] = g
 	}
 	g.linked, g.released, g.usage.backlog, g.requests, g.lastPermit = true, false, Backlog{}, nil, 0
-	attach := &Attach{Status: x.status(g)}
+	attach := &Attach{Status: x.status(g), Crashes: x.recentCrashes(now)}
 	g.usage.lastReported = attach.Status.UsedByOthers
 	for _, run := range x.sortedRuns() {
 		if e := x.runs[run]; e.gateway == gateway && e.incarnation == incarnation {
@@ -197,7 +200,7 @@
 	if x.runs == nil {
 		x.runs = make(map[RunID]*execution)
 	}
-	e := &execution{gateway: gateway, incarnation: g.incarnation, demand: m.Demand, priority: m.Priority, spec: m.Spec, worker: x.worker.WorkerIncarnation, since: now}
+	e := &execution{gateway: gateway, incarnation: g.incarnation, queue: m.Queue, demand: m.Demand, priority: m.Priority, spec: m.Spec, worker: x.worker.WorkerIncarnation, since: now}
 	x.runs[m.Run] = e
 	if waits {
 		x.enqueue(m.Run, g, e)
@@ -323,16 +326,27 @@
 // sendStatus sends the status of the worker to every linked gateway.
 func (x *Executor) sendStatus() []Effect {
 	var effects []Effect
-	for _, gateway := range slices.Sorted(maps.Keys(x.gateways)) {
-		if g := x.gateways[gateway]; g.linked {
-			s := x.status(g)
-			g.usage.lastReported = s.UsedByOthers
-			effects = append(effects, Send{gateway, &s})
-		}
+	for _, gateway := range x.linkedGateways() {
+		g := x.gateways[gateway]
+		s := x.status(g)
+		g.usage.lastReported = s.UsedByOthers
+		effects = append(effects, Send{gateway, &s})
 	}
 	return effects
 }
 
+// linkedGateways returns the names of the linked gateways, sorted.
+func (x *Executor) linkedGateways() []identifier.Entry {
+	var names []identifier.Entry
+	for name, g := range x.gateways {
+		if g.linked {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Drain makes the executor refuse new runs and reports that to the gateways.
 func (x *Executor) Drain() []Effect {
 	x.draining = true
--- a/internal/transient/executor/executor_test.go
+++ b/internal/transient/executor/executor_test.go
@@ -74,7 +74,7 @@
 	case "no_backlog":
 		effects = d.x.HandleBacklog(now, gateway, &Backlog{})
 	case "start":
-		effects = d.x.HandleStart(now, gateway, &Start{Run: parseRun(t, args[1]), Service: "counter", Demand: specifier.Resources{CPU: scripter.Number(t, args[2])}, Permit: parsePermit(t, args[3]), Priority: optionalNumber(t, strings.TrimPrefix(args[4], "priority="))})
+		effects = d.x.HandleStart(now, gateway, &Start{Run: parseRun(t, args[1]), Queue: "peek", Service: "counter", Demand: specifier.Resources{CPU: scripter.Number(t, args[2])}, Permit: parsePermit(t, args[3]), Priority: optionalNumber(t, strings.TrimPrefix(args[4], "priority="))})
 	case "stop":
 		effects = d.x.HandleStop(now, gateway, &Stop{Run: parseRun(t, args[1])})
 	case "start_outcome":
@@ -166,6 +166,8 @@
 		return fmt.Sprintf("permit_request %d used_by_others=%d", m.Sequence, m.UsedByOthers.CPU)
 	case *Release:
 		return "release"
+	case *Crash:
+		return "crash" + formatCrash(m)
 	case *Load:
 		return fmt.Sprintf("load used_by_others=%d", m.UsedByOthers.CPU)
 	case *Attach:
@@ -173,11 +175,31 @@
 		for _, e := range m.Ends {
 			ends = append(ends, fmt.Sprintf("%s:%s", e.Run, e.Outcome))
 		}
-		return fmt.Sprintf("attach available=%t used_by_others=%d runs=%s ends=%s", m.Status.Available, m.Status.UsedByOthers.CPU, m.Runs, ends)
+		text := fmt.Sprintf("attach available=%t used_by_others=%d runs=%s ends=%s", m.Status.Available, m.Status.UsedByOthers.CPU, m.Runs, ends)
+		for _, c := range m.Crashes {
+			text += " crash" + formatCrash(&c)
+		}
+		return text
 	}
 	return fmt.Sprintf("%T", message)
 }
 
+// formatCrash formats a crash with the runs in it and their queues.
+func formatCrash(m *Crash) string {
+	var out strings.Builder
+	fmt.Fprintf(&out, " started_at=%d age=%s runs=", m.StartedAt.UnixMilli(), m.Age)
+	for i, r := range m.Runs {
+		if i > 0 {
+			out.WriteString(",")
+		}
+		fmt.Fprintf(&out, "%s:%s", r.Run, r.Queue)
+		if !r.Confirmed {
+			out.WriteString(":unconfirmed")
+		}
+	}
+	return out.String()
+}
+
 // parseHoldReply parses running runs, and ended ones of the form N:RUN:OUTCOME. The worker's
 // clock shows the time from the start of the script to the sending of the hold.
 func parseHoldReply(t *testing.T, h Hold, words []string) HoldReply {
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -339,7 +339,7 @@
 	if x.worker == nil || !x.worker.WorkerIncarnation.Equal(w) || !x.worker.fenced {
 		return nil
 	}
-	effects := append([]Effect{x.workerExited()}, x.endRuns(now, restarted)...)
+	effects := append(x.recordExit(now), x.endRuns(now, restarted)...)
 	x.worker.fenced = false
 	x.Fence++
 	x.worker.fence = x.Fence
--- a/internal/transient/executor/messages.go
+++ b/internal/transient/executor/messages.go
@@ -27,6 +27,8 @@
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Run RunID
+	// Queue is the name of the job's queue.
+	Queue string
 	// Service is the service that the worker must belong to.
 	Service string
 	Spec    string
@@ -110,6 +112,33 @@
 	Runs   []RunID
 	// Ends are the ends of the last seconds, which the gateway may have missed.
 	Ends []Ended
+	// Crashes are the latest crashes of the worker.
+	Crashes []Crash
+}
+
+// Crash reports that the worker's process has ended without being asked to, while its VM and
+// its agent went on. One of the runs on it may be the cause.
+type Crash struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Worker and StartedAt identify the process.
+	Worker    string
+	StartedAt time.Time
+	// Age is the time from when the agent learned of the crash until the message was sent.
+	Age  time.Duration
+	Runs []CrashedRun
+}
+
+// CrashedRun is a run that was on a worker when it crashed, or whose start was under way.
+type CrashedRun struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Run RunID
+	// Queue is the name of the job's queue.
+	Queue string
+	// Confirmed is set if the worker had accepted the start. Without that, it may have been
+	// dead already when the start was sent.
+	Confirmed bool
 }
 
 // Status describes the worker of an agent to a gateway.
--- a/internal/transient/executor/worker.go
+++ b/internal/transient/executor/worker.go
@@ -103,7 +103,7 @@
 	}
 	var effects []Effect
 	if w != nil && w.fenced {
-		effects = append(effects, x.workerExited())
+		effects = x.recordExit(now)
 	}
 	effects = append(effects, x.endRuns(now, true)...)
 	// The new incarnation has seen no fencing token yet, so a late order meant for the
@@ -143,17 +143,6 @@
 	return append(effects, x.sendStatus()...)
 }
 
-// workerExited returns the report of the exit of the present worker.
-func (x *Executor) workerExited() WorkerExited {
-	e := WorkerExited{Worker: x.worker.WorkerIncarnation}
-	for _, run := range x.sortedRuns() {
-		if r := x.runs[run]; r.phase != queued && r.worker.Equal(e.Worker) {
-			e.Runs = append(e.Runs, run)
-		}
-	}
-	return e
-}
-
 // endRuns ends the runs of a worker that has exited. Two kinds of runs become uncertain
 // instead, until the next incarnation has accepted a higher fencing token: those whose start
 // order got no answer, because the next incarnation may still carry it out, and, if the next
--- /dev/null
+++ b/internal/transient/quarantiner/quarantiner.go
@@ -0,0 +1,266 @@
+// Package quarantiner decides from the crashes of workers which tasks cause them, and which
+// queues have such tasks. A task that was on two crashed workers, and no other task of the
+// second one was, is blamed for both: it is given up, and the queue of its job is confined to a
+// few workers until it has proved sound. A crash that no task is blamed for makes the tasks on
+// that worker suspects, which are started apart from each other.
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
+)
+
+const (
+	// A crash counts confirmedWeight against a task whose start the worker had accepted, and
+	// unconfirmedWeight against one that was sent to it but may not have been started: when
+	// several workers end for one cause, lost tasks are sent to workers that are dead already.
+	confirmedWeight   = 2
+	unconfirmedWeight = 1
+	// blameWeight is the weight from which a task may be blamed: that of two crashed workers.
+	blameWeight = 2 * confirmedWeight
+	// maxWeight is the weight from which a task is blamed even if others in the same crash
+	// have the weight to be blamed.
+	maxWeight = 3 * confirmedWeight
+	// retention is how long crashes are remembered.
+	retention = time.Minute
+	// soundRuns is the number of successful runs of a confined queue without a crash after
+	// which it is released.
+	soundRuns = 100
+	// quietPeriod is the time without a crash after which a confined queue is released.
+	quietPeriod = 30 * time.Second
+)
+
+// Task identifies a task.
+type Task struct {
+	Job specifier.JobID
+	// Index is the index of the task in the job.
+	Index int
+}
+
+// Blame names a task that is blamed for crashes, and the queue of its job.
+type Blame struct {
+	Task  Task
+	Queue string
+}
+
+// Quarantiner holds the recent crashes of workers. What it concludes depends only on the set of
+// crashes and not on the order in which they are reported, so that gateways agree. The zero value
+// knows of no crash. It is not safe for concurrent use.
+type Quarantiner struct {
+	// crashes holds the recent crashes in order of time.
+	crashes []*crash
+	// cleared holds when each task that was on a crashed worker has succeeded.
+	cleared map[Task]time.Time
+	// releasedAt holds when each queue was last released.
+	releasedAt map[string]time.Time
+	// sound counts the successful runs of each confined queue since its last crash.
+	sound map[string]int
+	verdicts
+}
+
+// verdicts is what follows from the crashes.
+type verdicts struct {
+	// suspects holds, for each task, the weight of the crashes that it was in and that no task is
+	// blamed for.
+	suspects map[Task]int
+	// blamed holds the queues of the blamed tasks, and givenUp their jobs.
+	blamed  map[Task]string
+	givenUp map[specifier.JobID]bool
+	// confined holds when a worker last crashed with a task of each confined queue.
+	confined map[string]time.Time
+}
+
+// crash is a recorded crash. A worker's process ends once, so agent, worker and startedAt
+// identify it.
+type crash struct {
+	at        time.Time
+	agent     identifier.Agent
+	worker    string
+	startedAt time.Time
+	// tasks holds the tasks that were on the worker, or on their way to it.
+	tasks map[Task]involvement
+	// explained is set if a task is blamed for the crash.
+	explained bool
+}
+
+// involvement is the part of a task in a crash.
+type involvement struct {
+	queue  string
+	weight int
+}
+
+// HandleCrash records a crash, and returns the tasks that are blamed as a result. A crash that
+// is reported again has no effect.
+func (q *Quarantiner) HandleCrash(now time.Time, agent identifier.Agent, m *executor.Crash) []Blame {
+	known := slices.ContainsFunc(q.crashes, func(c *crash) bool {
+		return c.agent == agent && c.worker == m.Worker && c.startedAt.Equal(m.StartedAt)
+	})
+	if known || m.Age >= retention {
+		return nil
+	}
+	c := &crash{at: now.Add(-m.Age), agent: agent, worker: m.Worker, startedAt: m.StartedAt, tasks: make(map[Task]involvement)}
+	for _, r := range m.Runs {
+		weight := unconfirmedWeight
+		if r.Confirmed {
+			weight = confirmedWeight
+		}
+		c.tasks[Task{r.Run.Job, r.Run.Index}] = involvement{r.Queue, weight}
+		delete(q.sound, r.Queue)
+	}
+	q.crashes = append(q.crashes, c)
+	slices.SortStableFunc(q.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	before := q.blamed
+	q.evaluate()
+	var blames []Blame
+	for task, queue := range q.blamed {
+		if _, known := before[task]; !known {
+			blames = append(blames, Blame{task, queue})
+		}
+	}
+	slices.SortFunc(blames, func(a, b Blame) int {
+		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
+	})
+	return blames
+}
+
+// evaluate derives the verdicts from the crashes.
+func (q *Quarantiner) evaluate() {
+	q.verdicts = verdicts{make(map[Task]int), make(map[Task]string), make(map[specifier.JobID]bool), make(map[string]time.Time)}
+	for i, c := range q.crashes {
+		c.explained = q.hasBlamed(c)
+		if !c.explained {
+			q.count(c, 1)
+			q.blame(c, q.crashes[:i+1])
+		}
+		for _, in := range c.tasks {
+			if _, confined := q.confined[in.queue]; confined {
+				q.confined[in.queue] = c.at
+			}
+		}
+	}
+}
+
+// hasBlamed reports whether a task that is blamed was in a crash.
+func (q *Quarantiner) hasBlamed(c *crash) bool {
+	for task := range c.tasks {
+		if _, blamed := q.blamed[task]; blamed {
+			return true
+		}
+	}
+	return false
+}
+
+// blame blames the only task of a crash that has the weight to be blamed, if there is one, and
+// clears the other tasks of all crashes that it was in.
+func (q *Quarantiner) blame(c *crash, until []*crash) {
+	var repeated []Task
+	for task := range c.tasks {
+		if q.suspects[task] >= blameWeight {
+			repeated = append(repeated, task)
+		}
+	}
+	if len(repeated) > 1 {
+		repeated = slices.DeleteFunc(repeated, func(task Task) bool { return q.suspects[task] < maxWeight })
+	}
+	for _, task := range repeated {
+		queue := c.tasks[task].queue
+		q.blamed[task], q.givenUp[task.Job] = queue, true
+		if c.at.After(q.releasedAt[queue]) {
+			q.confined[queue] = c.at
+		}
+	}
+	for _, earlier := range until {
+		if !earlier.explained && q.hasBlamed(earlier) {
+			earlier.explained = true
+			q.count(earlier, -1)
+		}
+	}
+}
+
+// count adds n times the weight of a crash to the suspicion against each task that was in
+// it and has not succeeded since.
+func (q *Quarantiner) count(c *crash, n int) {
+	for task, in := range c.tasks {
+		if q.cleared[task].After(c.at) {
+			continue
+		}
+		if q.suspects[task] += n * in.weight; q.suspects[task] <= 0 {
+			delete(q.suspects, task)
+		}
+	}
+}
+
+// TaskDone records that a task has succeeded.
+func (q *Quarantiner) TaskDone(now time.Time, task Task, queue string) {
+	if _, confined := q.confined[queue]; confined {
+		if q.sound == nil {
+			q.sound = make(map[string]int)
+		}
+		q.sound[queue]++
+	}
+	if q.suspects[task] == 0 {
+		return
+	}
+	delete(q.suspects, task)
+	if q.cleared == nil {
+		q.cleared = make(map[Task]time.Time)
+	}
+	q.cleared[task] = now
+}
+
+// Suspected reports whether a task was in a crash that no other task is blamed for.
+func (q *Quarantiner) Suspected(task Task) bool {
+	return q.suspects[task] > 0
+}
+
+// StronglySuspected reports whether a task was in as many crashes as a task that is blamed, but
+// not as the only one.
+func (q *Quarantiner) StronglySuspected(task Task) bool {
+	return q.suspects[task] >= blameWeight
+}
+
+// GivenUp reports whether a job has a task that is blamed for crashes.
+func (q *Quarantiner) GivenUp(job specifier.JobID) bool {
+	return q.givenUp[job]
+}
+
+// Confined reports whether a queue is confined.
+func (q *Quarantiner) Confined(queue string) bool {
+	_, confined := q.confined[queue]
+	return confined
+}
+
+// AnyConfined reports whether any queue is confined.
+func (q *Quarantiner) AnyConfined() bool {
+	return len(q.confined) > 0
+}
+
+// Tick forgets old crashes, and returns the queues that are released.
+func (q *Quarantiner) Tick(now time.Time) (released []string) {
+	for _, queue := range slices.Sorted(maps.Keys(q.confined)) {
+		if q.sound[queue] < soundRuns && now.Sub(q.confined[queue]) < quietPeriod {
+			continue
+		}
+		released = append(released, queue)
+		if q.releasedAt == nil {
+			q.releasedAt = make(map[string]time.Time)
+		}
+		q.releasedAt[queue] = now
+		delete(q.confined, queue)
+		delete(q.sound, queue)
+	}
+	old := func(c *crash) bool { return now.Sub(c.at) >= retention }
+	if !slices.ContainsFunc(q.crashes, old) {
+		return released
+	}
+	q.crashes = slices.DeleteFunc(q.crashes, old)
+	maps.DeleteFunc(q.cleared, func(_ Task, at time.Time) bool { return now.Sub(at) >= retention })
+	q.evaluate()
+	return released
+}
--- a/internal/transient/simulator/crash_test.go
+++ b/internal/transient/simulator/crash_test.go
@@ -46,6 +46,9 @@
 	for seed := uint64(1); seed <= 3; seed++ {
 		s := p.replay(seed)
 		assert.Check(t, len(s.violations) == 0, "seed %d: %d violations, the first: %s", seed, len(s.violations), append(s.violations, "")[0])
+		for _, c := range classes {
+			t.Log(seed, s.tally(c.name))
+		}
 		for _, c := range classes[1:] {
 			served := s.tally(c.name)
 			assert.Check(t, served.share(served.inAim+served.late) >= minServedBesideCrashes, "seed %d: %s", seed, served)
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -94,6 +94,8 @@
 		g.perform(g.coordinator.HandleRelease(now, name))
 	case *executor.Ended:
 		g.perform(g.coordinator.HandleEnded(now, name, m))
+	case *executor.Crash:
+		g.perform(g.coordinator.HandleCrash(now, name, m))
 	}
 }
 
