Notice the end of a worker's process with the second call to it

Cause: the end of a process closes all connections to it, but each idle one was found out by a call of its own, and holds were 50 ms apart after a failure.

TestProcessEnds failed before (the second call was silent, not gone).

--- a/internal/sidecar/runner/hold.go
+++ b/internal/sidecar/runner/hold.go
@@ -13,19 +13,30 @@
 // once would be called in a busy loop.
 const minHoldInterval = 4 * time.Millisecond
 
-// idleInterval is the time between two holds while there is no worker, or after a failure.
+// idleInterval is the time between two holds while there is no worker, or after repeated
+// failures. The first failure may be that of a connection, which the next hold replaces: it tells
+// at once whether the worker's process has ended.
 const idleInterval = 50 * time.Millisecond
 
 // runHolds sends holds to the worker until ctx ends. Holds extend the worker's lease and
 // return the runs that have ended.
 func (r *Runner) runHolds(ctx context.Context) {
+	failures := 0
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		h, ok := r.executor.NextHold(r.clock())
 		r.mu.Unlock()
-		interval := idleInterval
-		if ok && r.sendHold(ctx, h) {
-			interval = minHoldInterval
+		interval := minHoldInterval
+		switch {
+		case !ok:
+			interval = idleInterval
+		case r.sendHold(ctx, h):
+			failures = 0
+		default:
+			failures++
+		}
+		if failures > 1 {
+			interval = idleInterval
 		}
 		timer := time.NewTimer(interval)
 		select {
