Start suspects apart, and suspect confined queues first

Cause: with more suspects than workers, several of them went to one worker, so that the second crash did not tell them apart. A start that the worker had not answered when it died, 11 ms after its sending, counted half, and the task stayed blameless. Long tasks were on two crashed workers for that reason alone, and were blamed.

Change: a gateway runs one suspect on a worker, and ranks workers for suspects at random. A start counts whole if it was in flight for 5 ms: a connection to a dead local process is reset at once. A crash with a task of a confined queue in it is put down to no other queue unless a task was in three.

--- a/internal/transient/coordinator/confinement.go
+++ b/internal/transient/coordinator/confinement.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
@@ -19,10 +19,11 @@
 	// defaultDowntime is the expected time from the crash of a worker until it is available
 	// again, before one has been observed.
 	defaultDowntime = 3 * time.Second
-	// suspectPenalty ranks workers for a suspect: those that run another one, or that have
-	// crashed within crashMemory, come after all others.
-	suspectPenalty = time.Second
-	crashMemory    = 10 * time.Second
+	// crashPenalty ranks the workers that have crashed within crashMemory last for a suspect, and
+	// suspectSpread is the largest difference by which the others are ranked at random.
+	crashPenalty  = time.Second
+	crashMemory   = 10 * time.Second
+	suspectSpread = 50 * time.Millisecond
 	// lanePenalty ranks the workers that take the tasks of a confined queue behind all others
 	// for the tasks of other queues.
 	lanePenalty = 500 * time.Millisecond
@@ -104,9 +105,7 @@
 
 // laneRank returns the rank of an agent among the lanes.
 func laneRank(name identifier.Agent) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(name))
-	return h.Sum32()
+	return hash(string(name))
 }
 
 // admitsTask reports whether a task may be sent to an agent in view of the crashes of workers.
@@ -114,8 +113,13 @@
 	if c.confined(j) && !c.lanes[a] {
 		return false
 	}
-	strong := c.quarantine.StronglySuspected
-	return !strong(quarantiner.Task{Job: j.ID, Index: index}) || !a.runsAny(strong)
+	return !c.suspected(j, index) || !a.runsAny(c.quarantine.Suspected)
+}
+
+// suspected reports whether a task was on a worker that crashed for no known cause. Suspects are
+// started apart from each other, so that the next crash tells which of them is the cause.
+func (c *Coordinator) suspected(j *job, index int) bool {
+	return c.quarantine.Suspected(quarantiner.Task{Job: j.ID, Index: index})
 }
 
 // crashCost returns the penalties of sending a task to an agent in view of the crashes of workers.
@@ -124,14 +128,13 @@
 	if c.lanes[a] && !c.confined(j) {
 		cost += lanePenalty
 	}
-	if !c.quarantine.Suspected(quarantiner.Task{Job: j.ID, Index: index}) {
+	if !c.suspected(j, index) {
 		return cost
 	}
-	if a.runsAny(c.quarantine.Suspected) {
-		cost += suspectPenalty
-	}
+	// Gateways do not know each other's suspects, so each spreads its own at random.
+	cost += time.Duration(hash(string(j.ID), strconv.Itoa(index), string(a.name))%1024) * suspectSpread / 1024
 	if !a.crashedAt.IsZero() && now.Sub(a.crashedAt) < crashMemory {
-		cost += suspectPenalty
+		cost += crashPenalty
 	}
 	return cost
 }
--- a/internal/transient/coordinator/coordinator_test.go
+++ b/internal/transient/coordinator/coordinator_test.go
@@ -166,7 +166,7 @@
 		if queue == "" {
 			queue = "peek"
 		}
-		m.Runs = append(m.Runs, executor.CrashedRun{Run: run, Queue: queue, Confirmed: true})
+		m.Runs = append(m.Runs, executor.CrashedRun{Run: run, Queue: queue, Delivered: true})
 	}
 	return m
 }
--- a/internal/transient/coordinator/placement.go
+++ b/internal/transient/coordinator/placement.go
@@ -81,12 +81,15 @@
 		j := c.waiting[i]
 		required := c.requirement(j)
 		if !slices.ContainsFunc(unmet, required.exceeds) {
-			effects = append(effects, c.placeJob(now, j)...)
+			starts, full := c.placeJob(now, j)
+			effects = append(effects, starts...)
 			if len(j.pending) == 0 {
 				c.waiting = slices.Delete(c.waiting, i, i+1)
 				continue
 			}
-			unmet = append(unmet, required)
+			if full {
+				unmet = append(unmet, required)
+			}
 		}
 		if !required.confined {
 			skipped++
@@ -114,19 +117,25 @@
 	return requirement{j.Queue.Service, j.Label, j.Demand, c.confined(j)}
 }
 
-// placeJob starts pending tasks of a job until no agent can take the next one.
-func (c *Coordinator) placeJob(now time.Time, j *job) []Effect {
-	var effects []Effect
-	for len(j.pending) > 0 {
-		index := j.pending[0]
+// placeJob starts pending tasks of a job until no agent has the capacity for the next one, and
+// reports whether that is so. Suspects that have to wait for other suspects do not hold up the
+// tasks behind them.
+func (c *Coordinator) placeJob(now time.Time, j *job) (effects []Effect, full bool) {
+	var left []int
+	for i, index := range j.pending {
 		a := c.chooseAgent(now, j, index)
-		if a == nil {
-			break
+		switch {
+		case a != nil:
+			effects = append(effects, c.startTask(now, a, j, index))
+		case c.suspected(j, index):
+			left = append(left, index)
+		default:
+			j.pending = append(left, j.pending[i:]...)
+			return effects, true
 		}
-		j.pending = j.pending[1:]
-		effects = append(effects, c.startTask(now, a, j, index))
 	}
-	return effects
+	j.pending = left
+	return effects, false
 }
 
 // startTask sends a task to an agent as a new run. Run numbers follow the clock, so that
--- a/internal/transient/coordinator/refusal.go
+++ b/internal/transient/coordinator/refusal.go
@@ -77,9 +77,16 @@
 // spread returns a time between d and one and a half times d that depends on the job, so that
 // refused callers do not all come back at the same moment.
 func spread(d time.Duration, id specifier.JobID) time.Duration {
+	return d + d*time.Duration(hash(string(id))%1024)/2048
+}
+
+// hash returns a hash of a list of texts.
+func hash(texts ...string) uint32 {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(id))
-	return d + d*time.Duration(h.Sum32()%1024)/2048
+	for _, text := range texts {
+		_, _ = h.Write([]byte(text))
+	}
+	return h.Sum32()
 }
 
 // noteAvailable records which services have an available worker.
--- a/internal/transient/executor/crash.go
+++ b/internal/transient/executor/crash.go
@@ -8,6 +8,10 @@
 	crashRetention = time.Minute
 	// maxCrashes limits the crashes that are reported to a gateway that links anew.
 	maxCrashes = 16
+	// minInFlight is how long a start order must have been in flight, when it failed or the
+	// worker's process ended, to have reached a process that was alive: the connection to one that
+	// has ended is reset at once, as it is local.
+	minInFlight = 5 * time.Millisecond
 )
 
 // recordedCrash is a crash of the worker.
@@ -24,7 +28,7 @@
 	for _, run := range x.sortedRuns() {
 		if e := x.runs[run]; e.phase != queued && e.worker.Equal(exited.Worker) {
 			exited.Runs = append(exited.Runs, run)
-			crash.Runs = append(crash.Runs, CrashedRun{Run: run, Queue: e.queue, Confirmed: e.confirmed || e.phase == running || e.phase == stopping})
+			crash.Runs = append(crash.Runs, CrashedRun{Run: run, Queue: e.queue, Delivered: e.delivered(now)})
 		}
 	}
 	effects := []Effect{exited}
@@ -41,6 +45,17 @@
 	return effects
 }
 
+// delivered reports whether the start of the run reached a worker that was alive.
+func (e *execution) delivered(now time.Time) bool {
+	switch {
+	case e.confirmed, e.phase == running, e.phase == stopping:
+		return true
+	case e.silentAfter > 0:
+		return e.silentAfter >= minInFlight
+	}
+	return now.Sub(e.since) >= minInFlight
+}
+
 // recentCrashes returns the crashes of the last crashRetention, as reported at now.
 func (x *Executor) recentCrashes(now time.Time) []Crash {
 	var crashes []Crash
--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -133,6 +133,8 @@
 	// confirmed is set when that incarnation has listed the run in a hold reply. The
 	// answer to a start order does not say which incarnation gave it.
 	confirmed bool
+	// silentAfter is how long after its sending the start order failed without an answer.
+	silentAfter time.Duration
 	// percent is the progress that the worker reported last, and progressedAt is when
 	// it last changed.
 	percent      int
--- a/internal/transient/executor/executor_test.go
+++ b/internal/transient/executor/executor_test.go
@@ -193,8 +193,8 @@
 			out.WriteString(",")
 		}
 		fmt.Fprintf(&out, "%s:%s", r.Run, r.Queue)
-		if !r.Confirmed {
-			out.WriteString(":unconfirmed")
+		if !r.Delivered {
+			out.WriteString(":undelivered")
 		}
 	}
 	return out.String()
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -158,6 +158,7 @@
 		if e.confirmed {
 			return nil
 		}
+		e.silentAfter = now.Sub(e.since)
 		return x.stopRun(now, order.Run, e)
 	case e.phase == starting:
 		e.phase, e.since = running, now
--- a/internal/transient/executor/messages.go
+++ b/internal/transient/executor/messages.go
@@ -136,9 +136,9 @@
 	Run RunID
 	// Queue is the name of the job's queue.
 	Queue string
-	// Confirmed is set if the worker had accepted the start. Without that, it may have been
-	// dead already when the start was sent.
-	Confirmed bool
+	// Delivered is set if the worker was alive when the start was sent. Otherwise it may have
+	// been dead already.
+	Delivered bool
 }
 
 // Status describes the worker of an agent to a gateway.
--- a/internal/transient/quarantiner/quarantiner.go
+++ b/internal/transient/quarantiner/quarantiner.go
@@ -17,16 +17,16 @@
 )
 
 const (
-	// A crash counts confirmedWeight against a task whose start the worker had accepted, and
-	// unconfirmedWeight against one that was sent to it but may not have been started: when
-	// several workers end for one cause, lost tasks are sent to workers that are dead already.
-	confirmedWeight   = 2
-	unconfirmedWeight = 1
+	// A crash counts deliveredWeight against a task whose start reached the worker, and
+	// undeliveredWeight against one that may have been sent too late: when several workers end
+	// for one cause, lost tasks are sent to workers that are dead already.
+	deliveredWeight   = 2
+	undeliveredWeight = 1
 	// blameWeight is the weight from which a task may be blamed: that of two crashed workers.
-	blameWeight = 2 * confirmedWeight
-	// maxWeight is the weight from which a task is blamed even if others in the same crash
-	// have the weight to be blamed.
-	maxWeight = 3 * confirmedWeight
+	blameWeight = 2 * deliveredWeight
+	// maxWeight is the weight from which a task is blamed even if there are others that the
+	// crash may be put down to.
+	maxWeight = 3 * deliveredWeight
 	// retention is how long crashes are remembered.
 	retention = time.Minute
 	// soundRuns is the number of successful runs of a confined queue without a crash after
@@ -106,9 +106,9 @@
 	}
 	c := &crash{at: now.Add(-m.Age), agent: agent, worker: m.Worker, startedAt: m.StartedAt, tasks: make(map[Task]involvement)}
 	for _, r := range m.Runs {
-		weight := unconfirmedWeight
-		if r.Confirmed {
-			weight = confirmedWeight
+		weight := undeliveredWeight
+		if r.Delivered {
+			weight = deliveredWeight
 		}
 		c.tasks[Task{r.Run.Job, r.Run.Index}] = involvement{r.Queue, weight}
 		delete(q.sound, r.Queue)
@@ -156,8 +156,19 @@
 	return false
 }
 
+// hasConfined reports whether a task of a confined queue was in a crash.
+func (q *Quarantiner) hasConfined(c *crash) bool {
+	for _, in := range c.tasks {
+		if q.Confined(in.queue) {
+			return true
+		}
+	}
+	return false
+}
+
 // blame blames the only task of a crash that has the weight to be blamed, if there is one, and
-// clears the other tasks of all crashes that it was in.
+// clears the other tasks of all crashes that it was in. Tasks of confined queues are the likelier
+// cause of a crash than any others, even before they have the weight.
 func (q *Quarantiner) blame(c *crash, until []*crash) {
 	var repeated []Task
 	for task := range c.tasks {
@@ -165,7 +176,7 @@
 			repeated = append(repeated, task)
 		}
 	}
-	if len(repeated) > 1 {
+	if len(repeated) != 1 || q.hasConfined(c) && !q.Confined(c.tasks[repeated[0]].queue) {
 		repeated = slices.DeleteFunc(repeated, func(task Task) bool { return q.suspects[task] < maxWeight })
 	}
 	for _, task := range repeated {
@@ -219,12 +230,6 @@
 	return q.suspects[task] > 0
 }
 
-// StronglySuspected reports whether a task was in as many crashes as a task that is blamed, but
-// not as the only one.
-func (q *Quarantiner) StronglySuspected(task Task) bool {
-	return q.suspects[task] >= blameWeight
-}
-
 // GivenUp reports whether a job has a task that is blamed for crashes.
 func (q *Quarantiner) GivenUp(job specifier.JobID) bool {
 	return q.givenUp[job]
--- a/internal/transient/quarantiner/quarantiner_test.go
+++ b/internal/transient/quarantiner/quarantiner_test.go
@@ -22,7 +22,7 @@
 // step runs one of these commands, where TASK is a job and an index, such as a#0, and STARTED
 // the start of the worker in milliseconds:
 //
-//	crash AGENT STARTED AGE TASK:QUEUE[:unconfirmed]...
+//	crash AGENT STARTED AGE TASK:QUEUE[:undelivered]...
 //	done TASK QUEUE TIMES; tick; task TASK; job JOB; queue QUEUE
 func step(t *testing.T, q *Quarantiner, now time.Time, words []string) string {
 	switch words[0] {
@@ -31,7 +31,7 @@
 		for _, w := range words[4:] {
 			parts := strings.Split(w, ":")
 			task := parseTask(t, parts[0])
-			m.Runs = append(m.Runs, executor.CrashedRun{Run: executor.RunID{Job: task.Job, Index: task.Index}, Queue: parts[1], Confirmed: len(parts) == 2})
+			m.Runs = append(m.Runs, executor.CrashedRun{Run: executor.RunID{Job: task.Job, Index: task.Index}, Queue: parts[1], Delivered: len(parts) == 2})
 		}
 		var out strings.Builder
 		for _, b := range q.HandleCrash(now, identifier.Agent(words[1]), m) {
@@ -47,7 +47,7 @@
 		return strings.Join(q.Tick(now), "\n")
 	case "task":
 		task := parseTask(t, words[1])
-		return fmt.Sprintf("suspected=%t strongly=%t", q.Suspected(task), q.StronglySuspected(task))
+		return fmt.Sprintf("suspected=%t weight=%d", q.Suspected(task), q.suspects[task])
 	case "job":
 		return fmt.Sprintf("given_up=%t", q.GivenUp(specifier.JobID(words[1])))
 	case "queue":
