Refuse jobs of confined queues at once when they cannot be in time

Cause: they waited for lanes that come back before their callers leave. When a lane came back, all of them were started there at one moment, those that crash workers among them.

--- a/internal/transient/coordinator/confinement.go
+++ b/internal/transient/coordinator/confinement.go
@@ -195,8 +195,10 @@
 	return start
 }
 
-// refuseConfined ends the waiting jobs of confined queues that no lane can start before their
-// callers leave. Those that were started before are not run to the end, and answered so.
+// refuseConfined ends the waiting jobs of confined queues that no lane can start in time: before
+// they are due, or before their callers leave if they were started before. The lanes may crash
+// again as soon as they are back, so a job that would be late anyway hardly gains by waiting, and
+// those that wait would all be started at the same moment.
 func (c *Coordinator) refuseConfined(now time.Time) []Effect {
 	if !c.quarantine.AnyConfined() {
 		return nil
@@ -208,7 +210,11 @@
 			continue
 		}
 		start := forecast.startsAt(now, j)
-		if !start.Add(j.minRun()).After(j.deadline) {
+		limit := j.deadline
+		if !j.started && j.due.Before(limit) {
+			limit = j.due
+		}
+		if !start.Add(j.minRun()).After(limit) {
 			continue
 		}
 		forecast.ahead[j.Queue.Service] -= j.work()
