Pass crash reports on between gateways beyond a full mesh

Cause: a gateway there is linked to a part of the agents. It saw an innocent task in two crashes, but not the crashes that clear it.

Change: a gateway passes the report of a crash that is new to it on to the gateways that are linked, and sends the recent ones on a new link, if there are more gateways than each process is linked to.

--- a/internal/gateway/runner/links.go
+++ b/internal/gateway/runner/links.go
@@ -14,6 +14,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/member/selector"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/quarantiner"
 )
 
 // accept performs the handshake on a connection that another process dialled, and serves
@@ -128,9 +129,25 @@
 	r.peerLinks[id] = link
 	r.send(link, &selector.Directory{Gateways: r.linker.Known()})
 	r.distribute(r.distributor.LinkOpened(id))
+	if !r.linker.FullMesh() {
+		for _, report := range r.coordinator.CrashReports(r.clock()) {
+			r.send(link, &report)
+		}
+	}
 	return id
 }
 
+// passOn sends the report of a crash to the gateways that are linked, if agents are not linked to
+// all of them. The caller holds the lock.
+func (r *Runner) passOn(report *quarantiner.Report) {
+	if r.linker.FullMesh() {
+		return
+	}
+	for _, link := range r.peerLinks {
+		r.send(link, report)
+	}
+}
+
 // removePeer removes a link that has ended.
 func (r *Runner) removePeer(id distributor.LinkID) {
 	r.mu.Lock()
@@ -150,6 +167,10 @@
 	case *router.Manifest:
 		r.counters.manifestsReceived.Inc()
 		r.adoptManifest(*m, "gateway")
+	case *quarantiner.Report:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.perform(r.coordinator.HandleReport(r.clock(), m))
 	case *distributor.Announcement:
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -159,6 +159,8 @@
 			r.send(r.agentLinks[e.To], e.Message)
 		case coordinator.CloseLink:
 			r.closeLink(&e)
+		case coordinator.PassOn:
+			r.passOn(e.Report)
 		case coordinator.Reply:
 			r.reply(&e)
 		case coordinator.LogEvent:
--- a/internal/link/encoder/encoder.go
+++ b/internal/link/encoder/encoder.go
@@ -21,6 +21,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/member/registrar"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/selector"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/quarantiner"
 )
 
 // messageTypes maps type codes to message types. The code of a type never changes.
@@ -69,6 +70,7 @@
 	41: reflect.TypeFor[distributor.Announcement](),
 	42: reflect.TypeFor[distributor.Request](),
 	43: reflect.TypeFor[executor.Crash](),
+	44: reflect.TypeFor[quarantiner.Report](),
 }
 
 // typeCodes is the inverse of messageTypes.
--- a/internal/member/linker/linker.go
+++ b/internal/member/linker/linker.go
@@ -75,6 +75,13 @@
 	return l.selector.List()
 }
 
+// FullMesh reports whether each process is linked to all known gateways.
+func (l *Linker) FullMesh() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.selector.FullMesh()
+}
+
 // Expire removes addresses and failures that have expired. It must be called
 // periodically.
 func (l *Linker) Expire() {
--- a/internal/member/selector/choose.go
+++ b/internal/member/selector/choose.go
@@ -42,6 +42,11 @@
 	return chosen
 }
 
+// FullMesh reports whether each process is linked to all known gateways.
+func (s *Selector) FullMesh() bool {
+	return len(s.known) <= maxFullMesh
+}
+
 // Surplus returns the addresses with an open link that would not be chosen without it, once
 // most of the others have open links.
 func (s *Selector) Surplus(now time.Time, p Process) []netip.AddrPort {
--- a/internal/transient/coordinator/confinement.go
+++ b/internal/transient/coordinator/confinement.go
@@ -29,27 +29,39 @@
 	lanePenalty = 500 * time.Millisecond
 )
 
-// HandleCrash records the crash of an agent's worker. Jobs with a task that is blamed for it are
-// answered as failed.
+// HandleCrash records the crash of an agent's worker.
 func (c *Coordinator) HandleCrash(now time.Time, name identifier.Agent, m *executor.Crash) []Effect {
-	a := c.agents[name]
-	if a == nil {
+	return c.HandleReport(now, &quarantiner.Report{Agent: name, Crash: *m})
+}
+
+// HandleReport records the report of a crash from the agent or from another gateway, and passes on
+// one that is new. Jobs with a task that is blamed for it are answered as failed.
+func (c *Coordinator) HandleReport(now time.Time, r *quarantiner.Report) []Effect {
+	blames, added := c.quarantine.HandleReport(now, r)
+	if !added {
 		return nil
 	}
-	if at := now.Add(-m.Age); at.After(a.crashedAt) {
-		a.crashedAt = at
+	if a := c.agents[r.Agent]; a != nil {
+		if at := now.Add(-r.Crash.Age); at.After(a.crashedAt) {
+			a.crashedAt = at
+		}
 	}
-	effects := c.giveUp(now, a, c.quarantine.HandleCrash(now, name, m))
+	effects := append([]Effect{PassOn{r}}, c.giveUp(now, r.Agent, blames)...)
 	c.updateLanes()
 	return append(effects, c.place(now)...)
 }
 
+// CrashReports returns the reports of all recent crashes, for a gateway that is linked anew.
+func (c *Coordinator) CrashReports(now time.Time) []quarantiner.Report {
+	return c.quarantine.Reports(now)
+}
+
 // giveUp answers the jobs of blamed tasks as failed.
-func (c *Coordinator) giveUp(now time.Time, a *agent, blames []quarantiner.Blame) []Effect {
+func (c *Coordinator) giveUp(now time.Time, at identifier.Agent, blames []quarantiner.Blame) []Effect {
 	var effects []Effect
 	for _, b := range blames {
 		run := executor.RunID{Job: b.Task.Job, Index: b.Task.Index}
-		effects = append(effects, LogEvent{Name: EventTaskBlamed, Run: run, Agent: a.name, Cause: b.Queue})
+		effects = append(effects, LogEvent{Name: EventTaskBlamed, Run: run, Agent: at, Cause: b.Queue})
 		if j := c.jobs[b.Task.Job]; j != nil && !j.ended {
 			effects = append(effects, c.end(now, j, Answer{State: Failed}, causeCrashes)...)
 		}
--- a/internal/transient/coordinator/coordinator_test.go
+++ b/internal/transient/coordinator/coordinator_test.go
@@ -10,6 +10,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/bench/scripter"
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/quarantiner"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
 )
 
@@ -41,7 +42,7 @@
 //	release AGENT
 //	status AGENT CPU [unavailable] [stalled]; load AGENT CPU; request_permit AGENT
 //	ended AGENT TASK OUTCOME [reason=R] [took=D]
-//	crash AGENT STARTED [TASK]...
+//	crash AGENT STARTED [TASK]...; report AGENT STARTED [TASK]...
 func (d *driver) step(t *testing.T, now time.Time, words []string) string {
 	args, options := split(words[1:])
 	agent := identifier.Agent(args[0])
@@ -87,6 +88,8 @@
 		effects = d.c.HandlePermitRequest(now, agent, d.nextRequest())
 	case "crash":
 		effects = d.c.HandleCrash(now, agent, d.parseCrash(t, args[1], words[3:]))
+	case "report":
+		effects = d.c.HandleReport(now, &quarantiner.Report{Agent: agent, Crash: *d.parseCrash(t, args[1], words[3:])})
 	case "ended":
 		m := &executor.Ended{Run: d.runs[args[1]], Outcome: parseOutcome(t, args[2]), Reason: executor.Reason(first(options["reason"]))}
 		if took := first(options["took"]); took != "" {
@@ -120,6 +123,8 @@
 				fmt.Fprintf(&out, ", retry after %s", e.Answer.RetryAfter.Round(time.Millisecond))
 			}
 			out.WriteString("\n")
+		case PassOn:
+			fmt.Fprintf(&out, "pass on the crash at %s\n", e.Report.Agent)
 		case LogEvent:
 			if e.Agent == "" {
 				fmt.Fprintf(&out, "log %s: %s\n", e.Name, e.Cause)
--- a/internal/transient/coordinator/effects.go
+++ b/internal/transient/coordinator/effects.go
@@ -5,6 +5,7 @@
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/quarantiner"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
 )
 
@@ -47,7 +48,7 @@
 	RetryAfter time.Duration
 }
 
-// Effect is an action for the process to carry out: a Send, CloseLink, Reply or LogEvent.
+// Effect is an action for the process to carry out: a Send, CloseLink, Reply, LogEvent or PassOn.
 type Effect interface{ effect() }
 
 // Send sends a message to an agent.
@@ -111,7 +112,13 @@
 	SinceHeard time.Duration
 }
 
+// PassOn sends a report to all gateways that are linked, unless every agent is linked to all.
+type PassOn struct {
+	Report *quarantiner.Report
+}
+
 func (Send) effect()      {}
 func (CloseLink) effect() {}
 func (Reply) effect()     {}
 func (LogEvent) effect()  {}
+func (PassOn) effect()    {}
--- a/internal/transient/quarantiner/quarantiner.go
+++ b/internal/transient/quarantiner/quarantiner.go
@@ -11,8 +11,6 @@
 	"slices"
 	"time"
 
-	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
-	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
 )
 
@@ -76,13 +74,10 @@
 	confined map[string]time.Time
 }
 
-// crash is a recorded crash. A worker's process ends once, so agent, worker and startedAt
-// identify it.
+// crash is a recorded crash.
 type crash struct {
-	at        time.Time
-	agent     identifier.Agent
-	worker    string
-	startedAt time.Time
+	at     time.Time
+	report Report
 	// tasks holds the tasks that were on the worker, or on their way to it.
 	tasks map[Task]involvement
 	// explained is set if a task is blamed for the crash.
@@ -95,17 +90,15 @@
 	weight int
 }
 
-// HandleCrash records a crash, and returns the tasks that are blamed as a result. A crash that
-// is reported again has no effect.
-func (q *Quarantiner) HandleCrash(now time.Time, agent identifier.Agent, m *executor.Crash) []Blame {
-	known := slices.ContainsFunc(q.crashes, func(c *crash) bool {
-		return c.agent == agent && c.worker == m.Worker && c.startedAt.Equal(m.StartedAt)
-	})
-	if known || m.Age >= retention {
-		return nil
+// HandleReport records a crash, and returns the tasks that are blamed as a result. A crash that
+// is reported again, which a worker's process ends only once for, has no effect: added is false.
+func (q *Quarantiner) HandleReport(now time.Time, r *Report) (blames []Blame, added bool) {
+	known := slices.ContainsFunc(q.crashes, func(c *crash) bool { return c.report.sameCrash(r) })
+	if known || r.Crash.Age >= retention {
+		return nil, false
 	}
-	c := &crash{at: now.Add(-m.Age), agent: agent, worker: m.Worker, startedAt: m.StartedAt, tasks: make(map[Task]involvement)}
-	for _, r := range m.Runs {
+	c := &crash{at: now.Add(-r.Crash.Age), report: *r, tasks: make(map[Task]involvement)}
+	for _, r := range r.Crash.Runs {
 		weight := undeliveredWeight
 		if r.Delivered {
 			weight = deliveredWeight
@@ -117,7 +110,6 @@
 	slices.SortStableFunc(q.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 	before := q.blamed
 	q.evaluate()
-	var blames []Blame
 	for task, queue := range q.blamed {
 		if _, known := before[task]; !known {
 			blames = append(blames, Blame{task, queue})
@@ -126,7 +118,18 @@
 	slices.SortFunc(blames, func(a, b Blame) int {
 		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
 	})
-	return blames
+	return blames, true
+}
+
+// Reports returns the reports of all recent crashes.
+func (q *Quarantiner) Reports(now time.Time) []Report {
+	var reports []Report
+	for _, c := range q.crashes {
+		r := c.report
+		r.Crash.Age = now.Sub(c.at)
+		reports = append(reports, r)
+	}
+	return reports
 }
 
 // evaluate derives the verdicts from the crashes.
--- a/internal/transient/quarantiner/quarantiner_test.go
+++ b/internal/transient/quarantiner/quarantiner_test.go
@@ -34,7 +34,8 @@
 			m.Runs = append(m.Runs, executor.CrashedRun{Run: executor.RunID{Job: task.Job, Index: task.Index}, Queue: parts[1], Delivered: len(parts) == 2})
 		}
 		var out strings.Builder
-		for _, b := range q.HandleCrash(now, identifier.Agent(words[1]), m) {
+		blames, _ := q.HandleReport(now, &Report{Agent: identifier.Agent(words[1]), Crash: *m})
+		for _, b := range blames {
 			fmt.Fprintf(&out, "blame %s#%d of %s\n", b.Task.Job, b.Task.Index, b.Queue)
 		}
 		return out.String()
