Choose lanes among the workers that can take the task

Read in the diff, not seen by callers: a lane without the label or the size that a job asks for, or one that drains, could leave a confined queue without any worker for half a minute.

--- a/internal/transient/coordinator/coordinator.go
+++ b/internal/transient/coordinator/coordinator.go
@@ -37,11 +37,10 @@
 	refusedUntil []time.Time
 	// lastAvailable is when a worker of each service was available last.
 	lastAvailable map[string]time.Time
-	// quarantine tells which tasks and queues crash workers. lanes holds the agents whose workers
-	// take the tasks of confined queues, and downtime is how long the last worker that crashed was
-	// down.
+	// quarantine tells which tasks and queues crash workers, lanes which workers take the tasks of
+	// these queues, and downtime is how long the last worker that crashed was down.
 	quarantine quarantiner.Quarantiner
-	lanes      map[*agent]bool
+	lanes      lanes
 	downtime   time.Duration
 	// lastNumber is the number of the last run.
 	lastNumber uint64
--- a/internal/transient/coordinator/placement.go
+++ b/internal/transient/coordinator/placement.go
@@ -122,8 +122,13 @@
 // tasks behind them.
 func (c *Coordinator) placeJob(now time.Time, j *job) (effects []Effect, full bool) {
 	var left []int
+	var lanes []*agent
+	confined := c.confined(j)
+	if confined {
+		lanes = c.lanesFor(j)
+	}
 	for i, index := range j.pending {
-		a := c.chooseAgent(now, j, index)
+		a := c.chooseAgent(now, j, index, func(a *agent) bool { return !confined || slices.Contains(lanes, a) })
 		switch {
 		case a != nil:
 			effects = append(effects, c.startTask(now, a, j, index))
@@ -156,15 +161,20 @@
 	return Send{a.name, &executor.Start{Run: t.run, Queue: j.Queue.Name, Service: j.Queue.Service, Spec: j.Spec, Demand: j.Demand, Priority: j.Queue.Priority, Permit: a.grantPermit(now)}}
 }
 
-// chooseAgent returns the agent with the lowest cost for a task, or nil if none can take it.
-func (c *Coordinator) chooseAgent(now time.Time, j *job, index int) *agent {
+// chooseAgent returns the agent with the lowest cost for a task among those that mayTake accepts,
+// or nil if none can take it.
+func (c *Coordinator) chooseAgent(now time.Time, j *job, index int, mayTake func(*agent) bool) *agent {
 	var best *agent
 	var bestCost time.Duration
+	suspected := c.suspected(j, index)
 	for _, a := range c.agents {
-		if !a.admits(now, j) || !c.admitsTask(a, j, index) {
+		if !mayTake(a) || !a.admits(now, j) || suspected && c.runsSuspect(a) {
 			continue
 		}
-		cost := c.cost(a, j, &j.tasks[index]) + c.crashCost(now, a, j, index)
+		cost := c.cost(a, j, &j.tasks[index])
+		if suspected {
+			cost += suspectCost(now, a, j, index)
+		}
 		if best == nil || cost < bestCost || (cost == bestCost && a.name < best.name) {
 			best, bestCost = a, cost
 		}
@@ -201,6 +211,9 @@
 	if t.avoidAgent == a.name {
 		cost += avoidancePenalty
 	}
+	if c.lanes.chosen[a] && !c.confined(j) {
+		cost += lanePenalty
+	}
 	return cost
 }
 
@@ -251,7 +264,7 @@
 	var names []identifier.Agent
 	for _, a := range c.agents {
 		backlog := open
-		if c.lanes[a] {
+		if c.lanes.chosen[a] {
 			backlog = all
 		}
 		if a.attached && a.sentBacklog != backlog {
