--- a/internal/transient/quarantiner/quarantiner.go
+++ b/internal/transient/quarantiner/quarantiner.go
@@ -25,8 +25,10 @@
 	// maxWeight is the weight from which a task is blamed even if there are others that the
 	// crash may be put down to.
 	maxWeight = 3 * deliveredWeight
-	// retention is how long crashes are remembered.
-	retention = time.Minute
+	// retention is how long crashes are remembered, and maxCrashes how many at most. All of them
+	// are evaluated anew for each report.
+	retention  = time.Minute
+	maxCrashes = 256
 	// soundRuns is the number of successful runs of a confined queue without a crash after
 	// which it is released.
 	soundRuns = 100
@@ -90,8 +92,8 @@
 	weight int
 }
 
-// HandleReport records a crash, and returns the tasks that are blamed as a result. A crash that
-// is reported again, which a worker's process ends only once for, has no effect: added is false.
+// HandleReport records a crash, and returns the tasks that are blamed as a result. A crash that was
+// reported before has no effect, and added is false.
 func (q *Quarantiner) HandleReport(now time.Time, r *Report) (blames []Blame, added bool) {
 	known := slices.ContainsFunc(q.crashes, func(c *crash) bool { return c.report.sameCrash(r) })
 	if known || r.Crash.Age >= retention {
@@ -108,6 +110,9 @@
 	}
 	q.crashes = append(q.crashes, c)
 	slices.SortStableFunc(q.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	if len(q.crashes) > maxCrashes {
+		q.crashes = q.crashes[1:]
+	}
 	before := q.blamed
 	q.evaluate()
 	for task, queue := range q.blamed {
