Blame no task for one worker's crashes, and shorten the first confinement

Cause: one worker crashed three times within a second. The task that was lost there first was tried there again, was blamed for both crashes, and its queue had one worker of three until each gateway had seen a hundred successes, 14 s later.

Change: a task is blamed after two crashes only if they were at several agents, else after four. A queue is released after thirty successes for each blamed task, at most a hundred.

--- a/cmd/dandeliongrade/soak_test.go
+++ b/cmd/dandeliongrade/soak_test.go
@@ -27,6 +27,7 @@
 		seed  uint64
 		cause string
 	}{
+		{3036, "a queue confined for a worker that crashed twice in a row with the same task on it"},
 		{6038, "jobs refused for their backlog, forecast from a few starts while long tasks took all capacity"},
 	} {
 		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
--- a/internal/transient/quarantiner/quarantiner.go
+++ b/internal/transient/quarantiner/quarantiner.go
@@ -1,7 +1,7 @@
 // Package quarantiner decides from the crashes of workers which tasks cause them, and which
 // queues have such tasks. A task that was on two crashed workers, and no other task of the
 // second one was, is blamed for both: it is given up, and the queue of its job is confined to a
-// few workers until it has proved sound. A crash that no task is blamed for makes the tasks on
+// few workers until it has proved sound again. A crash that no task is blamed for makes the tasks on
 // that worker suspects, which are started apart from each other.
 package quarantiner
 
@@ -22,6 +22,9 @@
 	undeliveredWeight = 1
 	// blameWeight is the weight from which a task may be blamed: that of two crashed workers.
 	blameWeight = 2 * deliveredWeight
+	// oneAgentWeight takes the place of blameWeight for a task whose crashes were all at one
+	// agent, whose worker may crash for a cause of its own.
+	oneAgentWeight = 4 * deliveredWeight
 	// maxWeight is the weight from which a task is blamed even if there are others that the
 	// crash may be put down to.
 	maxWeight = 3 * deliveredWeight
@@ -29,9 +32,10 @@
 	// are evaluated anew for each report.
 	retention  = time.Minute
 	maxCrashes = 256
-	// soundRuns is the number of successful runs of a confined queue without a crash after
-	// which it is released.
-	soundRuns = 100
+	// A confined queue is released after soundRunsPerBlame successful runs without a crash for
+	// each of its tasks that is blamed, and after maxSoundRuns at most.
+	soundRunsPerBlame = 30
+	maxSoundRuns      = 100
 	// quietPeriod is the time without a crash after which a confined queue is released.
 	quietPeriod = 30 * time.Second
 )
@@ -164,6 +168,21 @@
 	return false
 }
 
+// severalAgents reports whether a task was in crashes at several agents that no task is blamed for.
+func severalAgents(task Task, crashes []*crash) bool {
+	var first *crash
+	for _, c := range crashes {
+		if _, in := c.tasks[task]; !in || c.explained {
+			continue
+		}
+		if first != nil && c.report.Agent != first.report.Agent {
+			return true
+		}
+		first = c
+	}
+	return false
+}
+
 // hasConfined reports whether a task of a confined queue was in a crash.
 func (q *Quarantiner) hasConfined(c *crash) bool {
 	for _, in := range c.tasks {
@@ -180,7 +199,7 @@
 func (q *Quarantiner) blame(c *crash, until []*crash) {
 	var repeated []Task
 	for task := range c.tasks {
-		if q.suspects[task] >= blameWeight {
+		if q.suspects[task] >= blameWeight && (q.suspects[task] >= oneAgentWeight || severalAgents(task, until)) {
 			repeated = append(repeated, task)
 		}
 	}
@@ -254,10 +273,21 @@
 	return len(q.confined) > 0
 }
 
+// soundRunsNeeded returns the number of successful runs after which a queue is released.
+func (q *Quarantiner) soundRunsNeeded(queue string) int {
+	blames := 0
+	for _, of := range q.blamed {
+		if of == queue {
+			blames++
+		}
+	}
+	return min(blames*soundRunsPerBlame, maxSoundRuns)
+}
+
 // Tick forgets old crashes, and returns the queues that are released.
 func (q *Quarantiner) Tick(now time.Time) (released []string) {
 	for _, queue := range slices.Sorted(maps.Keys(q.confined)) {
-		if q.sound[queue] < soundRuns && now.Sub(q.confined[queue]) < quietPeriod {
+		if q.sound[queue] < q.soundRunsNeeded(queue) && now.Sub(q.confined[queue]) < quietPeriod {
 			continue
 		}
 		released = append(released, queue)
