--- a/internal/manifest/distributor/distributor.go
+++ b/internal/manifest/distributor/distributor.go
@@ -19,8 +19,8 @@
 	// firstStorePause is storePause for a gateway without a manifest, which cannot serve.
 	firstStorePause = 50 * time.Millisecond
 	// transferTimeout bounds the wait for a requested manifest, and for the announcement by
-	// which the receiver of a manifest confirms it. A manifest of the largest size takes a
-	// fifth of it on an idle link of 25 Mbit/s.
+	// which the receiver of a manifest confirms it. A manifest of four thousand routes takes
+	// a fifth of it on an idle link of 25 Mbit/s.
 	transferTimeout = 500 * time.Millisecond
 )
 
--- a/internal/transient/coordinator/crashes.go
+++ b/internal/transient/coordinator/crashes.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -105,8 +104,3 @@
 	c.updateLanes(now)
 	return effects
 }
-
-// hasActive reports whether a task of the job runs.
-func (j *job) hasActive() bool {
-	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.active })
-}
--- a/internal/transient/coordinator/lanes.go
+++ b/internal/transient/coordinator/lanes.go
@@ -144,3 +144,8 @@
 	}
 	return effects
 }
+
+// hasActive reports whether a task of the job runs.
+func (j *job) hasActive() bool {
+	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.active })
+}
--- a/internal/transient/quarantiner/quarantiner.go
+++ b/internal/transient/quarantiner/quarantiner.go
@@ -53,8 +53,9 @@
 	Queue string
 }
 
-// Quarantiner holds the recent crashes of workers. What it concludes depends only on the set of
-// crashes and not on the order in which they are reported, so that gateways agree. The zero value
+// Quarantiner holds the recent crashes of workers. It draws its conclusions anew from all of them
+// at each report, so that gateways agree in whatever order they learn of the crashes. Only the
+// successes since, which clear tasks and release queues, are those of this gateway. The zero value
 // knows of no crash. It is not safe for concurrent use.
 type Quarantiner struct {
 	// crashes holds the recent crashes in order of time.
@@ -104,13 +105,13 @@
 		return nil, false
 	}
 	c := &crash{at: now.Add(-r.Crash.Age), report: *r, tasks: make(map[Task]involvement)}
-	for _, r := range r.Crash.Runs {
+	for _, run := range r.Crash.Runs {
 		weight := undeliveredWeight
-		if r.Delivered {
+		if run.Delivered {
 			weight = deliveredWeight
 		}
-		c.tasks[Task{r.Run.Job, r.Run.Index}] = involvement{r.Queue, weight}
-		delete(q.sound, r.Queue)
+		c.tasks[Task{run.Run.Job, run.Run.Index}] = involvement{run.Queue, weight}
+		delete(q.sound, run.Queue)
 	}
 	q.crashes = append(q.crashes, c)
 	slices.SortStableFunc(q.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
@@ -194,8 +195,9 @@
 }
 
 // blame blames the only task of a crash that has the weight to be blamed, if there is one, and
-// clears the other tasks of all crashes that it was in. Tasks of confined queues are the likelier
-// cause of a crash than any others, even before they have the weight.
+// clears the other tasks of all crashes that it was in. The argument until holds the crashes up to
+// this one. Tasks of confined queues are the likelier cause of a crash than any others, even before
+// they have the weight, so with one of them on the worker the others need maxWeight.
 func (q *Quarantiner) blame(c *crash, until []*crash) {
 	var repeated []Task
 	for task := range c.tasks {
