Export the tasks of a handover in their order

Not seen by callers: the next owner keys the tasks by their index.

Cause: a second handover takes the tasks of a job without an answer from a map, and only the tasks of ended jobs were sorted.

The golden file, which has the tasks in order, is as it was.

--- a/internal/job/owner/handover.go
+++ b/internal/job/owner/handover.go
@@ -80,7 +80,8 @@
 	return append(messages, &Handover{Partition: p, Epoch: part.epoch, Cutoff: part.cutoff, Last: true})
 }
 
-// handoverRecords returns the records of a partition in the order of the submissions.
+// handoverRecords returns the records of a partition in the order of the submissions, each with its
+// tasks in their order.
 func (part *partition) handoverRecords() []HandoverRecord {
 	bySubmission := make(map[identifier.Submission]HandoverRecord)
 	for id, start := range part.inherited {
@@ -94,11 +95,8 @@
 		bySubmission[id.Submission] = r
 	}
 	part.registry.Each(func(s identifier.Submission, j *job) { bySubmission[s] = j.handoverRecord() })
-	for s, r := range bySubmission {
-		if r.Ended {
-			slices.SortFunc(r.Tasks, func(a, b HandoverTask) int { return cmp.Compare(a.Index, b.Index) })
-			bySubmission[s] = r
-		}
+	for _, r := range bySubmission {
+		slices.SortFunc(r.Tasks, func(a, b HandoverTask) int { return cmp.Compare(a.Index, b.Index) })
 	}
 	records := make([]HandoverRecord, 0, len(bySubmission))
 	for _, s := range slices.SortedFunc(maps.Keys(bySubmission), identifier.Submission.Compare) {
