--- a/review/_rig/cases.go
+++ b/review/_rig/cases.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -143,42 +142,65 @@
 	return nil
 }
 
-// cutLength is how long the path from callers to one gateway is cut.
-const cutLength = 3500 * time.Millisecond
+const (
+	// drainTime is drain_ms of the small sites and a little more: how long a worker goes on serving
+	// after its status report that it drains was acknowledged.
+	drainTime = 2200 * time.Millisecond
+	// stopTime is stop_ms of the small sites: how long the end of what runs on a worker may take.
+	stopTime = 50 * time.Millisecond
+)
 
-// heldRequest submits jobs with long tasks to a gateway while the path from its callers is cut. The
-// callers give up, and submit their jobs again at the next gateway. When the cut heals, the first
-// request arrives at its gateway, and behind it the end of its connection.
-func heldRequest(r *rig) (int, error) {
+// leavingWorker submits jobs with long tasks, and while each runs, its worker is emptied and taken
+// away: it reports that it drains, serves on for drainTime, deregisters, and ends with all that runs
+// on it.
+func leavingWorker(r *rig) (int, error) {
 	if err := r.startAll(3, 11); err != nil {
 		return 0, err
 	}
 	for round := range 3 {
-		first, second := r.gateways[round], r.gateways[(round+1)%3]
-		f, err := r.newForwarder(first.callers)
-		if err != nil {
-			return 0, err
+		id := fmt.Sprintf("ff%06x%08x", round, 1)
+		g := r.gateways[round]
+		answered := make(chan struct{})
+		r.logf("caller sends job %s to %s", id, g.name)
+		go func() {
+			defer close(answered)
+			status, answer := r.submit(g.front, id, standin.SlowSpecPrefix+" "+id, 1, longLimit)
+			r.logf("caller gets %d for job %s: %.80s", status, id, answer)
+		}()
+		time.Sleep(time.Second)
+		w := r.workerOf(id + ".0.0.0")
+		if w == nil {
+			return 0, fmt.Errorf("the task of job %s does not run", id)
 		}
-		id := fmt.Sprintf("ee%06x%08x", round, 1)
 		if r.trouble {
-			r.logf("the path from callers to %s is cut", first.name)
-			f.hold()
-			time.AfterFunc(cutLength, func() {
-				r.logf("the cut heals")
-				f.release()
-			})
-		}
-		time.Sleep(100 * time.Millisecond)
-		for attempt, to := range []netip.AddrPort{f.addr, second.front} {
-			r.logf("caller sends job %s, attempt %d", id, attempt+1)
-			status, answer := r.submit(to, id, standin.SlowSpecPrefix+" "+id, 1, callerLimit)
-			r.logf("caller gets %d for job %s: %.80s", status, id, answer)
-			if !resendable(status) {
-				break
+			if err := r.takeAway(w); err != nil {
+				return 0, err
 			}
-			time.Sleep(resendDelay)
 		}
-		time.Sleep(2 * time.Second)
+		<-answered
 	}
 	return r.overlapCount(), nil
 }
+
+// takeAway empties a worker and takes it away, as a scale-in does.
+func (r *rig) takeAway(w *worker) error {
+	r.mu.Lock()
+	w.draining = true
+	r.mu.Unlock()
+	r.logf("%s reports from now on that it drains", w.id)
+	time.Sleep(reportInterval + drainTime)
+	r.mu.Lock()
+	w.left = true
+	r.mu.Unlock()
+	status, err := r.callControl(w, http.MethodDelete, nil)
+	if err != nil {
+		return err
+	}
+	r.logf("%s has deregistered: status %d", w.id, status)
+	time.Sleep(stopTime)
+	w.end()
+	return nil
+}
+
+// reportInterval is longer than the time between two status reports of a worker.
+const reportInterval = 400 * time.Millisecond
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -17,7 +17,7 @@
 var cases = map[string]func(r *rig) (int, error){
 	"stop-unanswered": stopUnanswered,
 	"foreign-report":  foreignReport,
-	"held-request":    heldRequest,
+	"leaving-worker":  leavingWorker,
 }
 
 func main() {
--- a/review/_rig/rig.go
+++ b/review/_rig/rig.go
@@ -79,8 +79,13 @@
 
 // worker is a stand-in for a worker with its sidecar process.
 type worker struct {
-	id      string
+	id string
+	// control is where the sidecar takes the worker's status reports.
 	control netip.AddrPort
+	// end ends the worker and all that runs on it.
+	end context.CancelFunc
+	// draining is set while the worker reports that it drains, left once it has deregistered.
+	draining, left bool
 	// late, if set, says for how long an order is held back that gets no answer. Zero means
 	// that the order is passed on at once.
 	late func(path string) time.Duration
@@ -252,16 +257,25 @@
 	w := &worker{id: "i-" + name, control: control}
 	r.workers = append(r.workers, w)
 	addr := orders.Addr().(*net.TCPAddr).AddrPort()
+	reports, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
 	model := &standin.Worker{
-		ID: w.id, Service: standin.Service, Zone: standin.Zone, Addr: addr, Control: control,
+		ID: w.id, Service: standin.Service, Zone: standin.Zone, Addr: addr, Control: reports.Addr().(*net.TCPAddr).AddrPort(),
 		CPU: workerCPU, RunTime: taskRunTime, Observer: observer{r},
 	}
-	r.spawn(func() { _ = model.Run(r.ctx, behind) })
+	ctx, end := context.WithCancel(r.ctx)
+	w.end = end
+	r.spawn(func() { _ = model.Run(ctx, behind) })
+	reportProxy := &http.Server{Handler: r.reportProxy(w)}
+	r.spawn(func() { _ = reportProxy.Serve(reports) })
 	proxy := &http.Server{Handler: r.orderProxy(w, behind.Addr().String())}
 	r.spawn(func() { _ = proxy.Serve(orders) })
 	r.spawn(func() {
-		<-r.ctx.Done()
+		<-ctx.Done()
 		_ = proxy.Close()
+		_ = reportProxy.Close()
 	})
 	seed := r.gateways[0].link
 	return w, r.startProcess("sidecar", "side-"+name, map[string]any{
@@ -269,6 +283,45 @@
 	})
 }
 
+// reportProxy passes on the status reports of a worker. Once the worker drains, they say so, and once
+// it has deregistered, there are none.
+func (r *rig) reportProxy(w *worker) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		draining, left := w.draining, w.left
+		r.mu.Unlock()
+		if left {
+			return
+		}
+		if draining {
+			body = bytes.Replace(body, []byte(`"state":"ready"`), []byte(`"state":"draining","remaining_ms":2000`), 1)
+		}
+		status, err := r.callControl(w, req.Method, body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		rw.WriteHeader(status)
+		_, _ = rw.Write([]byte("{}"))
+	})
+}
+
+// callControl calls the sidecar of a worker as the worker does, and returns the status.
+func (r *rig) callControl(w *worker, method string, body []byte) (int, error) {
+	req, err := http.NewRequestWithContext(r.ctx, method, "http://"+w.control.String()+"/instances/"+w.id, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
+
 // orderProxy passes orders to a worker. An order that w.late holds back gets no answer and is
 // carried out later.
 func (r *rig) orderProxy(w *worker, target string) http.Handler {
