--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/rig ] && [ -x target/dandeliongrade ] || { echo "run the build of the deploy file and review/build.sh first" >&2; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-exec target/review/rig foreign-report target/dandeliongrade review/2/record.txt
+exec target/review/rig leaving-worker target/dandeliongrade review/2/record.txt
