Take no status report for the exit of a worker

Cause: a message was taken for a fact. A report of another incarnation with a later start replaced the worker and ended its runs at once, and its start made the reports of the real worker count as late.

Evidence: with reports of other writers and late reports among the faults of the random histories, 111 of 400 histories broke on the code before (TestHistories and TestCrashingHistories, two runs of a task at the same time).

Change: a report of a worker at another address than the one in the settings is refused with 400, as is such a row in the store after a restart. A report of another incarnation only makes it a successor: the present incarnation's runs end, and the successor replaces it, when a call to the worker's address shows that it has exited. Incarnations are not compared by their start any more. A report is stored once its incarnation has answered. This works because a worker answers for itself alone: its name is checked with each order, and its start with each hold.

Cases worker_restarted and restored expected the replacement by a report alone; they now have the hold that shows the restart, and check the same ends. All other golden files change by the line that confirms a worker. The workers of the soak reported the address behind their forwarder; they now report the one that their sidecar calls, as the platform's do.

--- a/internal/bench/soaker/cluster.go
+++ b/internal/bench/soaker/cluster.go
@@ -146,7 +146,7 @@
 }
 
 func (c *cluster) addWorker(name string, n uint16, observer standin.Observer) {
-	w := &worker{name: name, addr: c.addr(ordersPort + n), observer: observer}
+	w := &worker{name: name, addr: c.addr(ordersPort + n), advertised: c.addr(ordersPort + forwarderPortOffset + n), observer: observer}
 	w.control = c.addr(controlPort + forwarderPortOffset + n)
 	// Workers differ in speed, so that runs overlap in varying ways.
 	w.runTime = runTimes[int(n-1)%len(runTimes)]
--- a/internal/bench/soaker/worker.go
+++ b/internal/bench/soaker/worker.go
@@ -14,11 +14,14 @@
 // worker is a stand-in for a worker that can crash and start again. Each start makes a new
 // incarnation.
 type worker struct {
-	name          string
-	addr, control netip.AddrPort
-	runTime       time.Duration
-	clockSlowdown float64
-	observer      standin.Observer
+	name string
+	// addr is where the worker listens, and advertised the address of the forwarder before it,
+	// which its sidecar calls and its reports name.
+	addr, advertised netip.AddrPort
+	control          netip.AddrPort
+	runTime          time.Duration
+	clockSlowdown    float64
+	observer         standin.Observer
 
 	mu      sync.Mutex
 	starts  int
@@ -41,7 +44,7 @@
 		return err
 	}
 	w.current = &standin.Worker{
-		ID: fmt.Sprintf("%s-%d", w.name, w.starts/2), Service: standin.Service, Zone: standin.Zone, Addr: w.addr, Control: w.control,
+		ID: fmt.Sprintf("%s-%d", w.name, w.starts/2), Service: standin.Service, Zone: standin.Zone, Addr: w.advertised, Control: w.control,
 		CPU: workerCPU, RunTime: w.runTime, ClockSlowdown: w.clockSlowdown, Observer: w.observer,
 	}
 	w.starts++
--- a/internal/sidecar/runner/orders.go
+++ b/internal/sidecar/runner/orders.go
@@ -27,6 +27,9 @@
 			r.dispatch(func() { r.stopRun(e) })
 		case executor.HoldNow:
 			r.requestHold()
+		case executor.WorkerConfirmed:
+			r.log.Info("worker_confirmed", zap.String("worker", e.Worker.Name), zap.Time("born", e.Worker.StartedAt))
+			r.storeReport()
 		case executor.WorkerExited:
 			r.counters.workerExits.Inc()
 			r.log.Warn("worker_exited", zap.String("worker", e.Worker.Name), zap.Time("born", e.Worker.StartedAt), zap.Stringers("runs", e.Runs))
--- a/internal/sidecar/runner/runner.go
+++ b/internal/sidecar/runner/runner.go
@@ -74,6 +74,8 @@
 	holdNow chan struct{}
 	// reportChanged holds a value when the worker's report must be stored.
 	reportChanged chan struct{}
+	// stored is the report that was last stored or restored. Only persistReports uses it.
+	stored executor.WorkerReport
 	// pendingOrders counts the orders in flight. Each sends on orderDone when it returns.
 	pendingOrders int
 	orderDone     chan struct{}
@@ -113,7 +115,7 @@
 		incarnation:   incarnation,
 		counters:      newCounters(),
 		linker:        linker.New(selector.Process{Name: string(settings.Name), DataCentre: settings.DataCentre}, netip.AddrPort{}, clock),
-		executor:      executor.Executor{Fence: uint64(incarnation)},
+		executor:      executor.Executor{Fence: uint64(incarnation), Addr: settings.Worker},
 		links:         make(map[identifier.Entry]*connector.Link),
 		addrs:         make(map[identifier.Entry]netip.AddrPort),
 		holdNow:       make(chan struct{}, 1),
--- a/internal/sidecar/runner/worker.go
+++ b/internal/sidecar/runner/worker.go
@@ -10,17 +10,31 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
 )
 
-// HandleReport handles a report of the worker. It is stored if it differs from the last one in
-// more than its sequence number and clock.
-func (r *Runner) HandleReport(report executor.WorkerReport) {
+// HandleReport handles a report of the worker. A report that differs from the last one in
+// more than its sequence number and clock is stored, unless it describes an incarnation that
+// has not answered a call yet. An error means that the report was refused.
+func (r *Runner) HandleReport(report executor.WorkerReport) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	previous, known := r.executor.WorkerReport()
-	r.perform(r.executor.WorkerReported(r.clock(), report))
-	if known && previous.Describes(&report) {
-		return
+	previous, confirmed := r.executor.WorkerReport()
+	effects, err := r.executor.WorkerReported(r.clock(), report)
+	if err != nil {
+		return err
+	}
+	r.perform(effects)
+	if confirmed && previous.Describes(&report) {
+		return nil
 	}
-	r.log.Info("worker_reported", zap.String("worker", report.Name), zap.Time("born", report.StartedAt), zap.Bool("draining", report.Draining))
+	confirmed = confirmed && previous.WorkerIncarnation.Equal(report.WorkerIncarnation)
+	r.log.Info("worker_reported", zap.String("worker", report.Name), zap.Time("born", report.StartedAt), zap.Bool("draining", report.Draining), zap.Bool("confirmed", confirmed))
+	if confirmed {
+		r.storeReport()
+	}
+	return nil
+}
+
+// storeReport makes persistReports store the latest report.
+func (r *Runner) storeReport() {
 	select {
 	case r.reportChanged <- struct{}{}:
 	default:
@@ -70,21 +84,29 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	effects, err := r.executor.WorkerRestored(r.clock(), report)
+	if err != nil {
+		r.log.Warn("worker_not_restored", logger.Error(err))
+		return
+	}
 	r.log.Info("worker_restored", zap.String("worker", report.Name), zap.Time("born", report.StartedAt), zap.Bool("draining", report.Draining))
-	r.perform(r.executor.WorkerRestored(r.clock(), report))
+	r.stored = report
+	r.perform(effects)
 }
 
-// save stores the latest report, if there is one. It returns false if that failed.
+// save stores the latest report, if there is one that is not stored already. It returns false
+// if that failed.
 func (r *Runner) save(ctx context.Context) bool {
 	r.mu.Lock()
 	report, known := r.executor.WorkerReport()
 	r.mu.Unlock()
-	if !known {
+	if !known || r.stored.Describes(&report) {
 		return true
 	}
 	if err := r.deps.Store.SaveWorker(ctx, r.settings.Name, report); err != nil {
 		r.log.Warn("worker_not_stored", logger.Error(err))
 		return false
 	}
+	r.stored = report
 	return true
 }
--- a/internal/transient/executor/effects.go
+++ b/internal/transient/executor/effects.go
@@ -7,7 +7,7 @@
 )
 
 // Effect is an action that the process must carry out: a Send, CloseLink, DeferEnd,
-// StartRun, StopRun, HoldNow or WorkerExited.
+// StartRun, StopRun, HoldNow, WorkerConfirmed or WorkerExited.
 type Effect interface{ effect() }
 
 // Send sends a message to a gateway.
@@ -50,6 +50,12 @@
 // HoldNow asks for the next hold to be sent at once.
 type HoldNow struct{}
 
+// WorkerConfirmed reports that an incarnation of the worker has answered for the first time. Its
+// report is to be stored.
+type WorkerConfirmed struct {
+	Worker WorkerIncarnation
+}
+
 // WorkerExited reports that the worker's process has ended, to be logged.
 type WorkerExited struct {
 	Worker WorkerIncarnation
@@ -57,10 +63,11 @@
 	Runs []RunID
 }
 
-func (Send) effect()         {}
-func (CloseLink) effect()    {}
-func (DeferEnd) effect()     {}
-func (StartRun) effect()     {}
-func (StopRun) effect()      {}
-func (HoldNow) effect()      {}
-func (WorkerExited) effect() {}
+func (Send) effect()            {}
+func (CloseLink) effect()       {}
+func (DeferEnd) effect()        {}
+func (StartRun) effect()        {}
+func (StopRun) effect()         {}
+func (HoldNow) effect()         {}
+func (WorkerConfirmed) effect() {}
+func (WorkerExited) effect()    {}
--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -58,11 +59,16 @@
 	// Fence is the first fencing token. It should be higher than the tokens of earlier
 	// incarnations of this agent; if the worker refuses it, it is raised.
 	Fence uint64
+	// Addr is where the worker accepts orders. Reports of a worker elsewhere are refused.
+	Addr netip.AddrPort
 
-	worker   *workerState
-	gateways map[identifier.Entry]*gatewayState
-	runs     map[RunID]*execution
-	used     specifier.Resources
+	worker *workerState
+	// successor is the next incarnation of the worker, if one was reported while the present
+	// one may still run. It replaces the worker when a call shows that this one has exited.
+	successor *successor
+	gateways  map[identifier.Entry]*gatewayState
+	runs      map[RunID]*execution
+	used      specifier.Resources
 	// queue holds the runs that wait for free capacity, the most urgent first and then the
 	// oldest, and queuedDemand is the sum of their demands.
 	queue        []RunID
--- a/internal/transient/executor/executor_test.go
+++ b/internal/transient/executor/executor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -13,11 +14,14 @@
 
 func TestExecutor(t *testing.T) {
 	scripter.Run(t, "testdata/*.txtar", func() scripter.Step {
-		d := &driver{x: Executor{Fence: 100}, requests: make(map[identifier.Entry]uint64)}
+		d := &driver{x: Executor{Fence: 100, Addr: workerAddr}, requests: make(map[identifier.Entry]uint64)}
 		return d.step
 	})
 }
 
+// workerAddr is the address of the agent's worker.
+var workerAddr = netip.MustParseAddrPort("10.0.0.9:80")
+
 // driver runs the steps of a script against an Executor.
 type driver struct {
 	x Executor
@@ -34,7 +38,8 @@
 // step runs one line of a script. RUN is a job, an index and a number, such as a#0@1, and
 // STARTED is the start time of the worker in milliseconds:
 //
-//	report STARTED CPU [draining]; restore STARTED CPU; worker_left; drain; tick
+//	report STARTED CPU [draining] [name=NAME] [seq=N] [addr=ADDR]; restore STARTED CPU
+//	worker_left; drain; tick
 //	link GATEWAY INCARNATION; unlink GATEWAY; request_permit GATEWAY; permit GATEWAY; release GATEWAY
 //	backlog GATEWAY PRIORITY [CPU]; no_backlog GATEWAY
 //	start GATEWAY RUN CPU [permit=SEQUENCE+AGE] [priority=N]; stop GATEWAY RUN
@@ -47,12 +52,18 @@
 	switch words[0] {
 	case "report":
 		d.sequence++
-		effects = d.x.WorkerReported(now, parseReport(t, args, d.sequence))
+		var err error
+		if effects, err = d.x.WorkerReported(now, parseReport(t, words[1:], d.sequence)); err != nil {
+			return err.Error()
+		}
 	case "restore":
 		// A time that was stored and read back may have another location.
-		r := parseReport(t, args, d.sequence)
+		r := parseReport(t, words[1:], d.sequence)
 		r.StartedAt = r.StartedAt.In(time.FixedZone("stored", 3600))
-		effects = d.x.WorkerRestored(now, r)
+		var err error
+		if effects, err = d.x.WorkerRestored(now, r); err != nil {
+			return err.Error()
+		}
 	case "worker_left":
 		effects = d.x.WorkerLeft(now, "w")
 	case "drain":
@@ -98,11 +109,29 @@
 	return d.format(effects)
 }
 
+// parseReport parses a start time, a capacity and options. A report gets the given sequence
+// number unless an option sets it.
 func parseReport(t *testing.T, args []string, sequence uint64) WorkerReport {
-	return WorkerReport{
-		WorkerIncarnation: WorkerIncarnation{Name: "w", StartedAt: time.UnixMilli(int64(scripter.Number(t, args[0])))}, Service: "counter", Draining: args[2] == "draining",
+	r := WorkerReport{
+		WorkerIncarnation: WorkerIncarnation{Name: "w", StartedAt: time.UnixMilli(int64(scripter.Number(t, args[0])))}, Addr: workerAddr, Service: "counter",
 		Capacity: specifier.Resources{CPU: scripter.Number(t, args[1])}, Sequence: sequence,
 	}
+	for _, option := range args[2:] {
+		key, value, _ := strings.Cut(option, "=")
+		switch key {
+		case "draining":
+			r.Draining = true
+		case "name":
+			r.Name = value
+		case "seq":
+			r.Sequence = uint64(scripter.Number(t, value))
+		case "addr":
+			r.Addr = netip.MustParseAddrPort(value)
+		default:
+			t.Fatalf("unknown option %q of a report", option)
+		}
+	}
+	return r
 }
 
 // optionalNumber parses a number. An empty word stands for zero.
@@ -146,6 +175,8 @@
 			fmt.Fprintf(&out, "stop run %s fence=%d\n", e.Run, e.Fence)
 		case HoldNow:
 			out.WriteString("hold now\n")
+		case WorkerConfirmed:
+			fmt.Fprintf(&out, "worker confirmed %s\n", e.Worker.Name)
 		case WorkerExited:
 			fmt.Fprintf(&out, "worker exited runs=%s\n", e.Runs)
 		}
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -199,7 +199,8 @@
 	}
 	w.setClock(now, reply.Clock)
 	w.lastAnswered = h.Sent
-	effects := x.finishEnded(now, reply.Ended)
+	effects := x.confirm(h)
+	effects = append(effects, x.finishEnded(now, reply.Ended)...)
 	listed := make(map[RunID]bool, len(reply.Running))
 	for _, r := range reply.Running {
 		listed[r.Run] = true
@@ -223,8 +224,9 @@
 		}
 	}
 	effects = append(effects, x.checkStall(now)...)
-	// A worker gets no runs until a reply shows that no runs of an earlier agent are left.
-	if wasUsable := w.usable(); len(reply.Running) == 0 || wasUsable {
+	// A worker gets no runs until a reply to its present fencing token shows that no runs of
+	// an earlier agent are left.
+	if wasUsable := w.usable(); wasUsable || (len(reply.Running) == 0 && h.Fence == w.fence) {
 		w.fenced, w.unresponsive = true, false
 		if !wasUsable {
 			effects = append(effects, x.sendStatus()...)
@@ -233,6 +235,24 @@
 	return effects
 }
 
+// confirm records that the worker has answered a hold. A successor that was reported before
+// the hold was sent cannot have replaced it.
+func (x *Executor) confirm(h Hold) []Effect {
+	w := x.worker
+	if h.Fence != w.fence {
+		// The hold was sent before a call showed that the worker has exited.
+		return nil
+	}
+	if x.successor != nil && h.Sent.After(x.successor.reportedAt) {
+		x.successor = nil
+	}
+	if w.presence == present {
+		return nil
+	}
+	w.presence = present
+	return []Effect{WorkerConfirmed{Worker: w.WorkerIncarnation}}
+}
+
 const (
 	// StallAfter is how long runs may go without progress before the worker counts as
 	// stalled. A run of a few seconds reports progress several times in that period.
@@ -334,17 +354,26 @@
 	}
 }
 
-// handleWorkerExit ends the runs of a worker that has exited. The worker gets no more runs
-// until it has accepted a higher fencing token, because it may restart under the same name.
+// handleWorkerExit ends the runs of a worker that has exited, and adopts its successor if one
+// was reported. The worker gets no more runs until it has accepted a higher fencing token,
+// because it may restart under the same name.
 func (x *Executor) handleWorkerExit(now time.Time, w WorkerIncarnation, restarted bool) []Effect {
-	if x.worker == nil || !x.worker.WorkerIncarnation.Equal(w) || !x.worker.fenced {
+	if x.worker == nil || !x.worker.WorkerIncarnation.Equal(w) {
 		return nil
 	}
-	effects := append(x.recordExit(now), x.endRuns(now, restarted)...)
-	x.worker.fenced = false
-	x.Fence++
-	x.worker.fence = x.Fence
-	return append(effects, x.sendStatus()...)
+	var effects []Effect
+	if x.worker.fenced {
+		effects = append(x.recordExit(now), x.endRuns(now, restarted)...)
+		x.worker.fenced = false
+		x.Fence++
+		x.worker.fence = x.Fence
+		effects = append(effects, x.sendStatus()...)
+	}
+	x.worker.presence = exited
+	if x.successor != nil {
+		effects = append(effects, x.adopt(now, x.successor.report)...)
+	}
+	return effects
 }
 
 // Tick handles what depends on time alone: permits to be renewed, permits, leases,
--- a/internal/transient/executor/worker.go
+++ b/internal/transient/executor/worker.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"time"
@@ -43,11 +44,24 @@
 		slices.Equal(r.Labels, other.Labels) && r.Capacity == other.Capacity && r.Draining == other.Draining
 }
 
+// presence is what the worker's own answers have shown of one of its incarnations.
+type presence uint8
+
+const (
+	// unconfirmed incarnations were reported, and no call has shown whether they run.
+	unconfirmed presence = iota
+	// present incarnations have answered a hold.
+	present
+	// exited incarnations no longer answer: another one does, or nothing listens.
+	exited
+)
+
 // workerState is the state kept for one incarnation of the worker.
 type workerState struct {
 	WorkerIncarnation
-	report WorkerReport
-	fence  uint64
+	report   WorkerReport
+	presence presence
+	fence    uint64
 	// fenced is set once the worker has answered a hold with this fencing token and has
 	// listed no runs of an earlier agent.
 	fenced bool
@@ -69,6 +83,12 @@
 	lastSeenEnd int64
 }
 
+// successor is an incarnation that was reported while another one may still run.
+type successor struct {
+	report     WorkerReport
+	reportedAt time.Time
+}
+
 // usable reports whether the worker can be given runs.
 func (w *workerState) usable() bool {
 	return w.fenced && !w.unresponsive
@@ -86,30 +106,60 @@
 	w.clock, w.clockAt = clock, now
 }
 
-// WorkerReported handles a report of this agent's worker. A late report, from an earlier
-// incarnation or without a higher sequence number, is dropped.
-func (x *Executor) WorkerReported(now time.Time, r WorkerReport) []Effect {
-	w := x.worker
-	if w != nil && (r.StartedAt.Before(w.StartedAt) || (r.WorkerIncarnation.Equal(w.WorkerIncarnation) && r.Sequence <= w.report.Sequence)) {
+// ForeignReportError reports a description of a worker that is not the one of this agent.
+type ForeignReportError struct {
+	// Addr is the address in the report, and Want that of the agent's worker.
+	Addr, Want netip.AddrPort
+}
+
+// Error names both addresses and a remedy.
+func (e *ForeignReportError) Error() string {
+	return fmt.Sprintf("the report describes a worker at %s, the worker of this agent is at %s; send it to the agent beside that worker", e.Addr, e.Want)
+}
+
+// checkAddr returns an error if the report describes a worker at another address than that
+// of this agent's worker.
+func (x *Executor) checkAddr(r *WorkerReport) error {
+	if r.Addr == x.Addr {
 		return nil
 	}
-	if w != nil && r.WorkerIncarnation.Equal(w.WorkerIncarnation) {
-		same := r.Describes(&w.report)
-		w.report = r
-		if same {
-			return nil
-		}
-		return x.sendStatus()
+	return &ForeignReportError{Addr: r.Addr, Want: x.Addr}
+}
+
+// WorkerReported handles a report of this agent's worker. Anyone can send one, so a report
+// shows neither that an incarnation runs nor that another one has exited. While one may
+// still run, another that is reported only becomes its successor. A late report of the same
+// incarnation, without a higher sequence number, is dropped.
+func (x *Executor) WorkerReported(now time.Time, r WorkerReport) ([]Effect, error) {
+	if err := x.checkAddr(&r); err != nil {
+		return nil, err
 	}
-	var effects []Effect
-	if w != nil && w.fenced {
-		effects = x.recordExit(now)
+	w := x.worker
+	switch {
+	case w == nil || (w.presence == exited && !r.WorkerIncarnation.Equal(w.WorkerIncarnation)):
+		return x.adopt(now, r), nil
+	case !r.WorkerIncarnation.Equal(w.WorkerIncarnation):
+		x.successor = &successor{r, now}
+		return []Effect{HoldNow{}}, nil
+	case r.Sequence <= w.report.Sequence:
+		return nil, nil
 	}
-	effects = append(effects, x.endRuns(now, true)...)
+	same := r.Describes(&w.report)
+	w.report = r
+	if same {
+		return nil, nil
+	}
+	return x.sendStatus(), nil
+}
+
+// adopt replaces the worker by an incarnation that was reported. It gets no runs before it has
+// answered a hold.
+func (x *Executor) adopt(now time.Time, r WorkerReport) []Effect {
+	effects := x.endRuns(now, true)
 	// The new incarnation has seen no fencing token yet, so a late order meant for the
 	// earlier one could start a run there. A higher token prevents that.
 	x.Fence++
-	x.worker = &workerState{WorkerIncarnation: r.WorkerIncarnation, report: r, fence: x.Fence}
+	x.worker, x.successor = &workerState{WorkerIncarnation: r.WorkerIncarnation, report: r, fence: x.Fence}, nil
 	x.worker.setClock(now, r.Clock)
 	return append(effects, HoldNow{})
 }
@@ -117,17 +167,17 @@
 // WorkerRestored handles the last report that an earlier incarnation of this agent stored.
 // It is used until the worker sends a report; the first hold shows whether the worker is
 // still the same incarnation.
-func (x *Executor) WorkerRestored(now time.Time, r WorkerReport) []Effect {
+func (x *Executor) WorkerRestored(now time.Time, r WorkerReport) ([]Effect, error) {
 	if x.worker != nil {
-		return nil
+		return nil, nil
 	}
 	r.Sequence = 0
 	return x.WorkerReported(now, r)
 }
 
-// WorkerReport returns the worker's latest report, if there is a worker.
+// WorkerReport returns the worker's latest report, if the worker has answered a hold.
 func (x *Executor) WorkerReport() (WorkerReport, bool) {
-	if x.worker == nil {
+	if x.worker == nil || x.worker.presence != present {
 		return WorkerReport{}, false
 	}
 	return x.worker.report, true
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -155,7 +156,7 @@
 	a.up, a.frozen, a.deferred = true, false, nil
 	a.generation++
 	a.incarnation = identifier.NextIncarnation(a.sim.now, a.incarnation)
-	a.executor = &executor.Executor{Fence: a.initialFence()}
+	a.executor = &executor.Executor{Fence: a.initialFence(), Addr: workerAddr}
 	a.links = make(map[*gateway]*link)
 	a.every(tickInterval, func() { a.perform(a.executor.Tick(a.sim.now)) })
 	a.every(silenceCheckInterval, a.closeSilentLinks)
@@ -174,8 +175,35 @@
 		return
 	}
 	a.worker.sequence++
+	a.receiveReport(a.worker.report(), time.Millisecond)
+}
+
+// receiveReport delivers a report to the agent after a delay.
+func (a *agent) receiveReport(r executor.WorkerReport, delay time.Duration) {
+	a.schedule(delay, a.worker, func() {
+		effects, err := a.executor.WorkerReported(a.sim.now, r)
+		if err != nil {
+			a.sim.logf("%s refuses a report of %s: %s", a.name, r.Name, err)
+		}
+		a.perform(effects)
+	})
+}
+
+// foreignReport delivers a report that does not describe the worker: of a service or at an address
+// that nobody knows, of an earlier incarnation that comes late, or of a later one that does
+// not exist.
+func (a *agent) foreignReport() {
 	r := a.worker.report()
-	a.schedule(time.Millisecond, a.worker, func() { a.perform(a.executor.WorkerReported(a.sim.now, r)) })
+	r.Sequence = uint64(a.sim.random.IntN(1000))
+	if a.sim.random.IntN(2) == 0 {
+		r.Name, r.Service = "foreign", "unknown"
+	}
+	if a.sim.random.IntN(4) == 0 {
+		r.Addr = netip.MustParseAddrPort("127.0.0.1:9")
+	}
+	r.StartedAt = r.StartedAt.Add(time.Duration(a.sim.random.IntN(20000)-5000) * time.Millisecond)
+	a.sim.logf("fault foreign report of %s at %s, started at %s, to %s", r.Name, r.Addr, r.StartedAt.Sub(epoch), a.name)
+	a.receiveReport(r, time.Millisecond)
 }
 
 // kill ends the process and boots it again after the downtime. After a power loss the
--- a/internal/transient/simulator/worker_test.go
+++ b/internal/transient/simulator/worker_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -97,6 +98,9 @@
 	w.agent.schedule(time.Millisecond, w, func() { w.agent.perform(w.agent.executor.WorkerLeft(w.sim.now, w.id)) })
 }
 
+// workerAddr is where each agent finds its worker.
+var workerAddr = netip.MustParseAddrPort("10.0.0.9:80")
+
 // defaultCapacity is the CPU capacity of a worker in millicores.
 const defaultCapacity = 4000
 
@@ -108,6 +112,7 @@
 	}
 	return executor.WorkerReport{
 		WorkerIncarnation: executor.WorkerIncarnation{Name: w.id, StartedAt: w.startedAt},
+		Addr:              workerAddr,
 		Service:           "counter",
 		Capacity:          specifier.Resources{CPU: capacity},
 		Clock:             w.sim.now.Sub(w.startedAt),
