End no runs on the deregistration of a worker

Cause: a message was taken for a fact. On a deregistration the sidecar reported the worker's runs as lapsed at once, but the worker ends only after it has deregistered. A deregistration names no incarnation either, so a late one ended the runs of a later incarnation of the name.

Change: a deregistration makes the sidecar give the worker no more runs until its next report, and refuse the queued ones. Runs go on until the worker lists their ends or has exited. A worker that shuts down may close its port before its runs have ended, so after an announcement a refused connection ends them only when the lease is over. The outcome of a refused connection is told apart from the answer of another incarnation for that (closed, gone). This works because the lease is what the worker itself ends its runs by, at the latest.

The log line of an announced exit says so (announced=true).

--- a/internal/sidecar/runner/orders.go
+++ b/internal/sidecar/runner/orders.go
@@ -32,7 +32,7 @@
 			r.storeReport()
 		case executor.WorkerExited:
 			r.counters.workerExits.Inc()
-			r.log.Warn("worker_exited", zap.String("worker", e.Worker.Name), zap.Time("born", e.Worker.StartedAt), zap.Stringers("runs", e.Runs))
+			r.log.Warn("worker_exited", zap.String("worker", e.Worker.Name), zap.Time("born", e.Worker.StartedAt), zap.Bool("announced", e.Announced), zap.Stringers("runs", e.Runs))
 		}
 	}
 }
--- a/internal/transient/executor/crash.go
+++ b/internal/transient/executor/crash.go
@@ -23,7 +23,7 @@
 // recordExit records that the present worker's process has ended, and reports it to all linked
 // gateways. A worker that was about to leave has not crashed.
 func (x *Executor) recordExit(now time.Time) []Effect {
-	exited := WorkerExited{Worker: x.worker.WorkerIncarnation}
+	exited := WorkerExited{Worker: x.worker.WorkerIncarnation, Announced: x.worker.leaving()}
 	crash := Crash{Worker: exited.Worker.Name, StartedAt: exited.Worker.StartedAt}
 	for _, run := range x.sortedRuns() {
 		if e := x.runs[run]; e.phase != queued && e.worker.Equal(exited.Worker) {
@@ -32,7 +32,7 @@
 		}
 	}
 	effects := []Effect{exited}
-	if len(crash.Runs) == 0 || x.worker.report.Draining {
+	if len(crash.Runs) == 0 || exited.Announced {
 		return effects
 	}
 	x.crashes = append(x.crashes, recordedCrash{now, crash})
--- a/internal/transient/executor/effects.go
+++ b/internal/transient/executor/effects.go
@@ -61,6 +61,8 @@
 	Worker WorkerIncarnation
 	// Runs holds the runs that it may have been running.
 	Runs []RunID
+	// Announced is set if the worker had reported that it drains, or had deregistered.
+	Announced bool
 }
 
 func (Send) effect()            {}
--- a/internal/transient/executor/executor_test.go
+++ b/internal/transient/executor/executor_test.go
@@ -178,7 +178,11 @@
 		case WorkerConfirmed:
 			fmt.Fprintf(&out, "worker confirmed %s\n", e.Worker.Name)
 		case WorkerExited:
-			fmt.Fprintf(&out, "worker exited runs=%s\n", e.Runs)
+			fmt.Fprintf(&out, "worker exited runs=%s", e.Runs)
+			if e.Announced {
+				out.WriteString(" announced")
+			}
+			out.WriteString("\n")
 		}
 	}
 	return out.String()
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -75,8 +75,10 @@
 	// Silent means that there was no answer. The order may have been carried out, or may
 	// still be.
 	Silent
-	// Gone means that the worker has exited.
+	// Gone means that the worker has exited: another one answered at its address.
 	Gone
+	// Closed means that nothing listens at the worker's address.
+	Closed
 	// Restarted means that another incarnation of the worker answered.
 	Restarted
 	// StaleFence means that the worker refused the order because it has seen a higher
@@ -84,7 +86,7 @@
 	StaleFence
 )
 
-var callOutcomeNames = [...]string{Accepted: "accepted", Declined: "declined", Silent: "silent", Gone: "gone", Restarted: "restarted", StaleFence: "outdated"}
+var callOutcomeNames = [...]string{Accepted: "accepted", Declined: "declined", Silent: "silent", Gone: "gone", Closed: "closed", Restarted: "restarted", StaleFence: "outdated"}
 
 // String returns the name of o as it appears in logs.
 func (o CallOutcome) String() string {
@@ -104,7 +106,7 @@
 	case now.Sub(w.lastUnanswered) < shortHoldPeriod:
 		h.Wait = shortHoldWait
 	}
-	if w.fenced && len(x.runs) > 0 && !x.leaseBlocked(now) {
+	if w.fenced && !w.closed && len(x.runs) > 0 && !x.leaseBlocked(now) {
 		h.ExtendLease, h.LeaseEnd = true, w.extendLease(now)
 	}
 	return h, true
@@ -139,10 +141,10 @@
 // HandleStartOutcome handles the outcome of a call to start a run.
 func (x *Executor) HandleStartOutcome(now time.Time, order StartRun, outcome CallOutcome) []Effect {
 	e := x.runs[order.Run]
-	if outcome == Gone {
-		effects := x.handleWorkerExit(now, order.Worker, false)
-		// The run may have ended with the worker.
-		if e != nil && x.runs[order.Run] == e && e.worker.Equal(order.Worker) {
+	if outcome == Gone || outcome == Closed {
+		effects := x.handleWorkerExit(now, order.Worker, outcome)
+		// The order was not carried out, but the run may have ended with the worker already.
+		if e != nil && x.runs[order.Run] == e && !e.confirmed && e.worker.Equal(order.Worker) {
 			effects = append(effects, x.finish(now, order.Run, e, Refused, NoWorker)...)
 		}
 		return effects
@@ -170,14 +172,16 @@
 
 // HandleStopOutcome handles the outcome of a call to stop a run.
 func (x *Executor) HandleStopOutcome(now time.Time, order StopRun, outcome CallOutcome) []Effect {
-	if outcome == Gone {
-		return x.handleWorkerExit(now, order.Worker, false)
-	}
 	e := x.runs[order.Run]
+	if e != nil {
+		e.stopInFlight = false
+	}
+	if outcome == Gone || outcome == Closed {
+		return x.handleWorkerExit(now, order.Worker, outcome)
+	}
 	if e == nil {
 		return nil
 	}
-	e.stopInFlight = false
 	if outcome == Silent {
 		x.noteUnanswered(now, order.Worker)
 	}
@@ -197,8 +201,9 @@
 	if w == nil || !w.WorkerIncarnation.Equal(h.Worker) {
 		return nil
 	}
+	wasUsable := w.usable()
 	w.setClock(now, reply.Clock)
-	w.lastAnswered = h.Sent
+	w.lastAnswered, w.closed = h.Sent, false
 	effects := x.confirm(h)
 	effects = append(effects, x.finishEnded(now, reply.Ended)...)
 	listed := make(map[RunID]bool, len(reply.Running))
@@ -226,11 +231,11 @@
 	effects = append(effects, x.checkStall(now)...)
 	// A worker gets no runs until a reply to its present fencing token shows that no runs of
 	// an earlier agent are left.
-	if wasUsable := w.usable(); wasUsable || (len(reply.Running) == 0 && h.Fence == w.fence) {
+	if w.usable() || (len(reply.Running) == 0 && h.Fence == w.fence) {
 		w.fenced, w.unresponsive = true, false
-		if !wasUsable {
-			effects = append(effects, x.sendStatus()...)
-		}
+	}
+	if w.usable() && !wasUsable {
+		effects = append(effects, x.sendStatus()...)
 	}
 	return effects
 }
@@ -318,8 +323,8 @@
 
 // HoldFailed handles a hold whose outcome was not Accepted.
 func (x *Executor) HoldFailed(now time.Time, h Hold, outcome CallOutcome) []Effect {
-	if outcome == Gone || outcome == Restarted {
-		return x.handleWorkerExit(now, h.Worker, outcome == Restarted)
+	if outcome == Gone || outcome == Closed || outcome == Restarted {
+		return x.handleWorkerExit(now, h.Worker, outcome)
 	}
 	x.noteUnanswered(now, h.Worker)
 	if outcome == StaleFence {
@@ -354,28 +359,48 @@
 	}
 }
 
-// handleWorkerExit ends the runs of a worker that has exited, and adopts its successor if one
-// was reported. The worker gets no more runs until it has accepted a higher fencing token,
-// because it may restart under the same name.
-func (x *Executor) handleWorkerExit(now time.Time, w WorkerIncarnation, restarted bool) []Effect {
-	if x.worker == nil || !x.worker.WorkerIncarnation.Equal(w) {
+// handleWorkerExit handles a call whose outcome shows that a worker has exited or that nothing
+// listens at its address. It ends the worker's runs, and adopts its successor if one was
+// reported. The worker gets no more runs until it has accepted a higher fencing token, because
+// it may restart under the same name.
+//
+// A worker that shuts down may close its port before its runs have ended. After its announcement
+// the runs therefore end only when the lease has expired, unless another incarnation answers.
+func (x *Executor) handleWorkerExit(now time.Time, worker WorkerIncarnation, outcome CallOutcome) []Effect {
+	w := x.worker
+	if w == nil || !w.WorkerIncarnation.Equal(worker) {
 		return nil
 	}
+	if outcome == Closed && w.leaving() && w.fenced && !w.leaseOver(now) {
+		return x.handleClosed(now)
+	}
 	var effects []Effect
-	if x.worker.fenced {
-		effects = append(x.recordExit(now), x.endRuns(now, restarted)...)
-		x.worker.fenced = false
+	if w.fenced {
+		effects = append(x.recordExit(now), x.endRuns(now, outcome == Restarted)...)
+		w.fenced = false
 		x.Fence++
-		x.worker.fence = x.Fence
+		w.fence = x.Fence
 		effects = append(effects, x.sendStatus()...)
 	}
-	x.worker.presence = exited
-	if x.successor != nil {
+	w.presence = exited
+	switch {
+	case x.successor != nil:
 		effects = append(effects, x.adopt(now, x.successor.report)...)
+	case w.left:
+		x.worker = nil
 	}
 	return effects
 }
 
+// handleClosed handles the first refusal of a connection by a worker that is leaving.
+func (x *Executor) handleClosed(now time.Time) []Effect {
+	if x.worker.closed {
+		return nil
+	}
+	x.worker.closed = true
+	return append(x.refuseQueue(now), x.sendStatus()...)
+}
+
 // Tick handles what depends on time alone: permits to be renewed, permits, leases,
 // reservations and queued runs that have expired, and stop orders that must be sent again.
 func (x *Executor) Tick(now time.Time) []Effect {
@@ -410,7 +435,7 @@
 		w.unresponsive = true
 		effects = x.sendStatus()
 	}
-	if now.Sub(w.lastExtended) < unresponsiveAfter {
+	if !w.leaseOver(now) {
 		return effects
 	}
 	for _, run := range x.sortedRuns() {
--- a/internal/transient/executor/worker.go
+++ b/internal/transient/executor/worker.go
@@ -67,6 +67,12 @@
 	fenced bool
 	// unresponsive is set while the worker does not answer holds.
 	unresponsive bool
+	// deregistered is set once a deregistration of the worker has arrived. left is set until its
+	// next report, which shows that the deregistration was late.
+	deregistered, left bool
+	// closed is set when nothing listens at the address of a worker that is leaving. It may still
+	// be ending its runs.
+	closed bool
 	// clock is the reading of the worker's clock that arrived at clockAt. It was taken
 	// earlier, so a lease that is computed from it does not end too late.
 	clock   time.Duration
@@ -91,7 +97,17 @@
 
 // usable reports whether the worker can be given runs.
 func (w *workerState) usable() bool {
-	return w.fenced && !w.unresponsive
+	return w.fenced && !w.unresponsive && !w.left && !w.closed
+}
+
+// leaving reports whether the worker has announced that it will exit.
+func (w *workerState) leaving() bool {
+	return w.deregistered || w.report.Draining
+}
+
+// leaseOver reports whether the worker's lease has certainly expired.
+func (w *workerState) leaseOver(now time.Time) bool {
+	return now.Sub(w.lastExtended) >= LeaseDuration+ExpiryMargin
 }
 
 // extendLease returns the end of a lease that starts now, on the worker's clock, and
@@ -144,8 +160,10 @@
 	case r.Sequence <= w.report.Sequence:
 		return nil, nil
 	}
-	same := r.Describes(&w.report)
-	w.report = r
+	// A worker that reports gets runs again: the deregistration may have come late, from an
+	// earlier incarnation of the same name.
+	same := r.Describes(&w.report) && !w.left
+	w.report, w.left = r, false
 	if same {
 		return nil, nil
 	}
@@ -183,14 +201,24 @@
 	return x.worker.report, true
 }
 
-// WorkerLeft handles the deregistration of a worker that shuts down.
+// WorkerLeft handles the deregistration of a worker that shuts down. It names no incarnation
+// and may come late, so it is no evidence that runs have ended: they go on until the worker
+// lists their ends or has exited. Meanwhile the worker gets no more runs.
 func (x *Executor) WorkerLeft(now time.Time, worker string) []Effect {
-	if x.worker == nil || x.worker.Name != worker {
+	if x.worker == nil || x.worker.Name != worker || x.worker.left {
 		return nil
 	}
-	effects := x.endRuns(now, false)
-	x.worker = nil
-	return append(effects, x.sendStatus()...)
+	x.worker.deregistered, x.worker.left = true, true
+	return append(x.refuseQueue(now), x.sendStatus()...)
+}
+
+// refuseQueue refuses the queued runs, which the worker does not know.
+func (x *Executor) refuseQueue(now time.Time) []Effect {
+	var effects []Effect
+	for _, run := range slices.Clone(x.queue) {
+		effects = append(effects, x.finish(now, run, x.runs[run], Refused, NoWorker)...)
+	}
+	return effects
 }
 
 // endRuns ends the runs of a worker that has exited. Two kinds of runs become uncertain
@@ -199,10 +227,7 @@
 // incarnation has already started, those that no hold reply has confirmed, because it may be
 // the one that answered their start order.
 func (x *Executor) endRuns(now time.Time, restarted bool) []Effect {
-	var effects []Effect
-	for _, run := range slices.Clone(x.queue) {
-		effects = append(effects, x.finish(now, run, x.runs[run], Refused, NoWorker)...)
-	}
+	effects := x.refuseQueue(now)
 	for _, run := range x.sortedRuns() {
 		e := x.runs[run]
 		if e.phase == starting || e.phase == uncertain || (restarted && !e.confirmed) {
--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -19,7 +19,7 @@
 
 // TestHistories simulates random histories: jobs are submitted while gateways, agents, workers
 // and links fail, alone and together, and agents get reports that do not describe their
-// worker. It guards against two runs of a task at the same time,
+// worker and deregistrations of earlier incarnations. It guards against two runs of a task at the same time,
 // and against jobs that run although their callers were told that they did not. A failure
 // names its seed; run the test with -seed N -histories 1 -v to see the log of that history.
 func TestHistories(t *testing.T) {
@@ -86,7 +86,7 @@
 	g := s.gateways[s.random.IntN(len(s.gateways))]
 	a := s.agents[s.random.IntN(len(s.agents))]
 	d := time.Duration(s.random.IntN(4000)) * time.Millisecond
-	switch s.random.IntN(14) {
+	switch s.random.IntN(15) {
 	case 0:
 		g.kill(false, 100*time.Millisecond+d/4)
 	case 1:
@@ -129,6 +129,9 @@
 		a.worker.leave(d / 2)
 	case 13:
 		a.foreignReport()
+	case 14:
+		s.logf("fault late deregistration of %s", a.worker.id)
+		a.deregister(func() {})
 	}
 }
 
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -206,6 +206,15 @@
 	a.receiveReport(r, time.Millisecond)
 }
 
+// deregister delivers a deregistration of the worker's name to the agent, and calls
+// acknowledged afterwards.
+func (a *agent) deregister(acknowledged func()) {
+	a.schedule(time.Millisecond, a.worker, func() {
+		a.perform(a.executor.WorkerLeft(a.sim.now, a.worker.id))
+		acknowledged()
+	})
+}
+
 // kill ends the process and boots it again after the downtime. After a power loss the
 // gateways do not see their links close.
 func (a *agent) kill(powerLoss bool, downtime time.Duration) {
--- a/internal/transient/simulator/worker_test.go
+++ b/internal/transient/simulator/worker_test.go
@@ -21,9 +21,12 @@
 	// up is set while the worker runs. While it is down, silent tells whether calls time out
 	// or are refused at once.
 	up, silent bool
-	generation int
-	startedAt  time.Time
-	sequence   uint64
+	// draining is set when the worker reports that it drains, leaving when it shuts down, and
+	// closed when it refuses connections while it ends its runs.
+	draining, leaving, closed bool
+	generation                int
+	startedAt                 time.Time
+	sequence                  uint64
 
 	fence uint64
 	// called is set once a call that was meant for this incarnation has arrived.
@@ -70,6 +73,7 @@
 func (w *worker) boot() {
 	w.generation++
 	w.up, w.silent = true, false
+	w.draining, w.leaving, w.closed = false, false, false
 	w.startedAt = w.sim.now.Truncate(time.Millisecond)
 	w.fence, w.called, w.lastEnd, w.sequence = 0, false, 0, 0
 	w.lease = time.Time{}
@@ -89,13 +93,43 @@
 	w.sim.after(downtime, w.boot)
 }
 
-// leave shuts the worker down and tells the agent. The worker boots again later.
+const (
+	// maxDrain is the longest time that a worker drains before it deregisters.
+	maxDrain = 400 * time.Millisecond
+	// shutdownTime is how long a worker takes to end its runs after its deregistration was
+	// acknowledged. Its port closes at some time before.
+	shutdownTime = 50 * time.Millisecond
+	// maxDeregistration is how long a worker waits for that acknowledgement.
+	maxDeregistration = 2 * time.Second
+)
+
+// leave drains the worker, deregisters it and shuts it down. Half of the workers do not report
+// that they drain. The worker boots again later.
 func (w *worker) leave(downtime time.Duration) {
-	if !w.up {
+	if !w.up || w.leaving {
 		return
 	}
-	w.crash(false, 50*time.Millisecond+downtime)
-	w.agent.schedule(time.Millisecond, w, func() { w.agent.perform(w.agent.executor.WorkerLeft(w.sim.now, w.id)) })
+	w.leaving = true
+	w.sim.logf("fault worker %s leaves", w.id)
+	generation := w.generation
+	later := func(d time.Duration, run func()) {
+		w.sim.after(d, func() {
+			if w.generation == generation {
+				run()
+			}
+		})
+	}
+	exit := func() { w.crash(false, downtime) }
+	if w.draining = w.sim.random.IntN(2) == 0; w.draining {
+		w.agent.deliverReport()
+	}
+	later(time.Duration(w.sim.random.Int64N(int64(maxDrain))), func() {
+		w.agent.deregister(func() {
+			later(time.Duration(w.sim.random.Int64N(int64(shutdownTime))), func() { w.closed = true })
+			later(shutdownTime, exit)
+		})
+		later(maxDeregistration, exit)
+	})
 }
 
 // workerAddr is where each agent finds its worker.
@@ -115,6 +149,7 @@
 		Addr:              workerAddr,
 		Service:           "counter",
 		Capacity:          specifier.Resources{CPU: capacity},
+		Draining:          w.draining,
 		Clock:             w.sim.now.Sub(w.startedAt),
 		Sequence:          w.sequence,
 	}
@@ -129,8 +164,8 @@
 	generation := a.generation
 	w.sim.after(delay, func() {
 		switch {
-		case !w.up && !w.silent:
-			a.deliver(generation, new(int), func() { reply(executor.Gone) })
+		case w.closed, !w.up && !w.silent:
+			a.deliver(generation, new(int), func() { reply(executor.Closed) })
 		case !w.up || lost:
 			if late {
 				w.sim.logf("late %s at %s", what, w.id)
