Deny no run before the worker has accepted a restarted agent

A task could run twice: a gateway stopped a run that it had sent to an earlier incarnation of an agent, and the new one, which did not know it, answered that it had never started. The gateway started the task elsewhere while the worker still ran it, until the agent's first hold.

Gateways wait for the worker to accept a restarted agent, or for permit and lease to expire, before they end such runs, but this answer went past that.

Case stop_after_restart shows the answer; it failed before the change.

Change: the agent answers such a stop only once the worker has listed its runs for it and shows none of an earlier agent. Until then the gateway's wait goes on.

--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -247,6 +247,11 @@
 	if g == nil {
 		return nil
 	}
+	if x.worker == nil || !x.worker.fenced {
+		// An earlier incarnation of this agent may have started the run. The gateway waits
+		// until the worker has accepted this one, or permit and lease have expired.
+		return nil
+	}
 	// Either the end of the run has been sent already, or its start was lost with a
 	// broken link and the run never starts.
 	for _, recent := range g.recentEnds {
