Keep the order of a connection after a pause in the simulation

In the histories an event that was due right after a host's pause could pass events of the same source that were deferred during it. On a connection a close does not pass the request.

Change: events of a source wait until its deferred ones are delivered, as the comment of host said already.

--- a/internal/transient/simulator/simulation_test.go
+++ b/internal/transient/simulator/simulation_test.go
@@ -163,8 +163,10 @@
 	// generation increases with each boot and each kill. Events that were scheduled in an
 	// earlier generation are dropped.
 	generation int
-	// deferred holds the events that were due while the host was frozen.
-	deferred []deferredEvent
+	// deferred holds the events that were due while the host was frozen. deliveredBy holds, for
+	// each of their sources, when the last of them is delivered after that.
+	deferred    []deferredEvent
+	deliveredBy map[any]time.Time
 }
 
 // deferredEvent is an event of a frozen host. Events of the same source keep their order.
@@ -180,9 +182,18 @@
 	h.sim.after(d, func() { h.deliver(generation, source, run) })
 }
 
-// deliver runs an event, or defers it while the host is frozen. Events of an earlier
-// generation are dropped.
+// deliver runs an event, or defers it while the host is frozen, or while deferred events of its
+// source are still being delivered. Events of an earlier generation are dropped.
 func (h *host) deliver(generation int, source any, run func()) {
+	if wait := h.deliveredBy[source].Sub(h.sim.now); wait > 0 && !h.frozen {
+		h.sim.after(wait, func() { h.deliver(generation, source, run) })
+		return
+	}
+	h.deliverNext(generation, source, run)
+}
+
+// deliverNext is like deliver for an event that is the next of its source.
+func (h *host) deliverNext(generation int, source any, run func()) {
 	switch {
 	case !h.up || h.generation != generation:
 	case h.frozen:
@@ -228,7 +239,11 @@
 		source := sources[i]
 		run := queues[source][0]
 		delay += time.Duration(h.sim.random.IntN(300)) * time.Microsecond
-		h.sim.after(delay, func() { h.deliver(generation, source, run) })
+		if h.deliveredBy == nil {
+			h.deliveredBy = make(map[any]time.Time)
+		}
+		h.deliveredBy[source] = h.sim.now.Add(delay)
+		h.sim.after(delay, func() { h.deliverNext(generation, source, run) })
 		if queues[source] = queues[source][1:]; len(queues[source]) == 0 {
 			sources = append(sources[:i], sources[i+1:]...)
 		}
