--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -114,7 +114,7 @@
 	for _, g := range s.settings.Size.gateways() {
 		goroutines = append(goroutines, func() { s.watchManifest(ctx, g) })
 	}
-	goroutines = append(goroutines, func() { s.watchProcesses(ctx) }, func() { s.pulse.run(ctx) })
+	goroutines = append(goroutines, func() { s.watchProcesses(ctx) }, func() { s.pulse.run(ctx) }, func() { s.runForeignWriter(ctx) })
 	wait := supervisor.Start(goroutines...)
 	s.inject(ctx, plan)
 	s.runFaultFree(ctx)
