Bound the time for which a worker may leave stops unanswered

Cause: a sidecar withheld the lease for runs without a permit, but not for a run that a living gateway wanted stopped. Nothing bounded the time from a caller's end to the end of its runs.

Change: 600 ms after a gateway has asked for a stop, the lease is extended no more and nothing is started until the worker accepts an order to stop that run. The lease, its margin and that bound together are shorter than the 1.3 s after which callers submit again. It works because the worker itself ends what it runs when the lease is over, whatever orders it answers.

--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -41,6 +41,10 @@
 const (
 	// stopRetryInterval is the minimum time between two orders to stop the same run.
 	stopRetryInterval = 100 * time.Millisecond
+	// maxStopWait is how long the lease is extended while the worker leaves the orders to stop a
+	// run unanswered. Together with LeaseDuration and ExpiryMargin it is shorter than the time
+	// after which callers without an answer submit their jobs again, to any gateway.
+	maxStopWait = 600 * time.Millisecond
 	// endRetention is how long the ends of runs are kept for a gateway whose link broke.
 	endRetention = 2 * time.Second
 	// maxPendingRequests limits the permit requests kept for each gateway.
@@ -150,6 +154,8 @@
 	// revoked is set when the run may not continue: the permit of its gateway has
 	// expired, or the gateway has restarted.
 	revoked bool
+	// stopRequested is when the gateway first asked to stop the run.
+	stopRequested time.Time
 	// stopSent is when the last order to stop the run was sent, and stopAnswered is
 	// when the worker accepted one.
 	stopSent, stopAnswered time.Time
@@ -241,6 +247,9 @@
 // HandleStop stops a run at the request of its gateway.
 func (x *Executor) HandleStop(now time.Time, gateway identifier.Entry, m *Stop) []Effect {
 	if e := x.runs[m.Run]; e != nil {
+		if e.stopRequested.IsZero() {
+			e.stopRequested = now
+		}
 		return x.stopRun(now, m.Run, e)
 	}
 	g := x.gateways[gateway]
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -123,21 +123,32 @@
 	return false
 }
 
-// leaseBlocked reports whether the lease must not be extended, because a run has lost its
-// permit and the worker has not accepted an order to stop it. It compares permits with
-// now, because the tick that revokes expired permits may be late.
+// leaseBlocked reports whether the lease must not be extended, because the worker has not
+// accepted an order to stop a run that may not go on. It compares permits with now, because the
+// tick that revokes expired permits may be late.
 func (x *Executor) leaseBlocked(now time.Time) bool {
 	for _, e := range x.runs {
 		if e.phase == queued || !e.stopAnswered.IsZero() {
 			continue
 		}
-		if g := x.gatewayOf(e); e.revoked || g == nil || !now.Before(g.permitExpiry) {
+		if e.revoked || !x.permitted(now, e) || e.stopOverdue(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// permitted reports whether the gateway of a run allows it to go on.
+func (x *Executor) permitted(now time.Time, e *execution) bool {
+	g := x.gatewayOf(e)
+	return g != nil && now.Before(g.permitExpiry)
+}
+
+// stopOverdue reports whether the worker has accepted no order to stop the run for maxStopWait.
+func (e *execution) stopOverdue(now time.Time) bool {
+	return !e.stopRequested.IsZero() && now.Sub(e.stopRequested) >= maxStopWait
+}
+
 // HandleStartOutcome handles the outcome of a call to start a run.
 func (x *Executor) HandleStartOutcome(now time.Time, order StartRun, outcome CallOutcome) []Effect {
 	e := x.runs[order.Run]
--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -19,9 +19,10 @@
 
 // TestHistories simulates random histories: jobs are submitted while gateways, agents, workers
 // and links fail, alone and together, and agents get reports that do not describe their
-// worker and deregistrations of earlier incarnations. It guards against two runs of a task at the same time,
-// and against jobs that run although their callers were told that they did not. A failure
-// names its seed; run the test with -seed N -histories 1 -v to see the log of that history.
+// worker, deregistrations of earlier incarnations and no answers to stops. It guards against
+// two runs of a task at the same time, and against jobs that run although their callers were
+// told that they did not. A failure names its seed; run the test with -seed N -histories 1 -v
+// to see the log of that history.
 func TestHistories(t *testing.T) {
 	testHistories(t, *histories, 0)
 }
@@ -81,12 +82,15 @@
 	return s
 }
 
+// deafSlowness makes the runs of a worker that answers no stops outlast their callers.
+const deafSlowness = 10
+
 // injectFault injects one random fault.
 func (s *simulation) injectFault() {
 	g := s.gateways[s.random.IntN(len(s.gateways))]
 	a := s.agents[s.random.IntN(len(s.agents))]
 	d := time.Duration(s.random.IntN(4000)) * time.Millisecond
-	switch s.random.IntN(15) {
+	switch s.random.IntN(16) {
 	case 0:
 		g.kill(false, 100*time.Millisecond+d/4)
 	case 1:
@@ -132,6 +136,10 @@
 	case 14:
 		s.logf("fault late deregistration of %s", a.worker.id)
 		a.deregister(func() {})
+	case 15:
+		s.logf("fault worker %s is slow and answers no stops for %s", a.worker.id, d)
+		a.worker.deaf, a.worker.slowness = true, deafSlowness
+		s.after(d, func() { a.worker.deaf, a.worker.slowness = false, 0 })
 	}
 }
 
--- a/internal/transient/simulator/worker_test.go
+++ b/internal/transient/simulator/worker_test.go
@@ -42,6 +42,8 @@
 	lastEnd int64
 	// lossRate is the share of calls that get no answer. Half of these are carried out late.
 	lossRate float64
+	// deaf is set while orders to stop a run get no answer.
+	deaf bool
 	// hanging is set while new runs make no progress and do not end.
 	hanging bool
 	// slowness multiplies the run time of new runs, if it is not zero.
@@ -158,7 +160,7 @@
 // those are carried out seconds later, possibly by the next incarnation of the worker.
 func (w *worker) call(a *agent, what string, do func() executor.CallOutcome, reply func(executor.CallOutcome)) {
 	delay := time.Duration(100+w.sim.random.IntN(900)) * time.Microsecond
-	lost := w.sim.random.Float64() < w.lossRate
+	lost := w.sim.random.Float64() < w.lossRate || (w.deaf && strings.HasPrefix(what, "stop"))
 	late := lost && w.sim.random.IntN(2) == 0
 	generation := a.generation
 	w.sim.after(delay, func() {
