Count no unanswered start as delivered to a worker that crashes

Cause: a start order without an answer counted as one that had reached the worker alive if it had been in flight for 5 ms. An order that a worker leaves unanswered is in flight for 150 ms, so a task that the worker never ran was blamed for its crash, together with a crash elsewhere.

Change: only a run whose start was answered, or that a hold has listed, counts in full; the time in flight counts no more. A run that a hold reply has not listed, though the hold was sent well after the start order, is left out of the report.

TestTasksThatCrashWorkers and the crash budget of the histories hold.

Open: a task that ended just before its worker crashed, and was not listed as ended, still counts as on it.

--- a/internal/transient/executor/crash.go
+++ b/internal/transient/executor/crash.go
@@ -8,10 +8,6 @@
 	crashRetention = time.Minute
 	// maxCrashes limits the crashes that are reported to a gateway that links anew.
 	maxCrashes = 16
-	// minInFlight is how long a start order must have been in flight, when it failed or the
-	// worker's process ended, to have reached a process that was alive: the connection to one that
-	// has ended is reset at once, as it is local.
-	minInFlight = 5 * time.Millisecond
 )
 
 // recordedCrash is a crash of the worker.
@@ -26,9 +22,14 @@
 	exited := WorkerExited{Worker: x.worker.WorkerIncarnation, Announced: x.worker.leaving()}
 	crash := Crash{Worker: exited.Worker.Name, StartedAt: exited.Worker.StartedAt}
 	for _, run := range x.sortedRuns() {
-		if e := x.runs[run]; e.phase != queued && e.worker.Equal(exited.Worker) {
-			exited.Runs = append(exited.Runs, run)
-			crash.Runs = append(crash.Runs, CrashedRun{Run: run, Queue: e.queue, Delivered: e.delivered(now)})
+		e := x.runs[run]
+		if e.phase == queued || !e.worker.Equal(exited.Worker) {
+			continue
+		}
+		exited.Runs = append(exited.Runs, run)
+		// A run that the worker did not list while it was alive cannot have crashed it.
+		if !e.missing {
+			crash.Runs = append(crash.Runs, CrashedRun{Run: run, Queue: e.queue, Delivered: e.delivered()})
 		}
 	}
 	effects := []Effect{exited}
@@ -45,15 +46,10 @@
 	return effects
 }
 
-// delivered reports whether the start of the run reached a worker that was alive.
-func (e *execution) delivered(now time.Time) bool {
-	switch {
-	case e.confirmed, e.phase == running, e.phase == stopping:
-		return true
-	case e.silentAfter > 0:
-		return e.silentAfter >= minInFlight
-	}
-	return now.Sub(e.since) >= minInFlight
+// delivered reports whether the worker is known to have started the run. An order without an
+// answer shows nothing: the worker may have left it unanswered, or have been dead already.
+func (e *execution) delivered() bool {
+	return e.confirmed || e.phase == running || e.phase == stopping
 }
 
 // recentCrashes returns the crashes of the last crashRetention, as reported at now.
--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -143,8 +143,9 @@
 	// confirmed is set when that incarnation has listed the run in a hold reply. The
 	// answer to a start order does not say which incarnation gave it.
 	confirmed bool
-	// silentAfter is how long after its sending the start order failed without an answer.
-	silentAfter time.Duration
+	// missing is set when a hold reply has not listed the run although the hold was sent well
+	// after its start order, until one lists it: the order was lost or is late.
+	missing bool
 	// percent is the progress that the worker reported last, and progressedAt is when
 	// it last changed.
 	percent      int
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -171,7 +171,6 @@
 		if e.confirmed {
 			return nil
 		}
-		e.silentAfter = now.Sub(e.since)
 		return x.stopRun(now, order.Run, e)
 	case e.phase == starting:
 		e.phase, e.since = running, now
@@ -225,7 +224,7 @@
 			effects = append(effects, StopRun{Worker: w.WorkerIncarnation, Run: r.Run, Fence: w.fence})
 			continue
 		}
-		e.confirmed = e.worker.Equal(w.WorkerIncarnation)
+		e.confirmed, e.missing = e.worker.Equal(w.WorkerIncarnation), false
 		if e.confirmed && e.phase == starting {
 			e.phase, e.since = running, now
 		}
@@ -326,7 +325,10 @@
 		return x.finish(now, run, e, Refused, Unanswered)
 	case (e.phase == running || e.phase == stopping) && h.Sent.After(e.since):
 		return x.finish(now, run, e, Lapsed, "")
-	case e.phase == starting && h.Sent.Sub(e.since) >= overdueAfter:
+	case (e.phase == starting || e.phase == uncertain) && h.Sent.Sub(e.since) >= overdueAfter:
+		e.missing = true
+	}
+	if e.phase == starting && e.missing {
 		return x.stopRun(now, run, e)
 	}
 	return nil
--- a/internal/transient/executor/messages.go
+++ b/internal/transient/executor/messages.go
@@ -136,8 +136,7 @@
 	Run RunID
 	// Queue is the name of the job's queue.
 	Queue string
-	// Delivered is set if the worker was alive when the start was sent. Otherwise it may have
-	// been dead already.
+	// Delivered is set if the worker is known to have started the run.
 	Delivered bool
 }
 
--- a/internal/transient/simulator/caller_test.go
+++ b/internal/transient/simulator/caller_test.go
@@ -158,6 +158,24 @@
 	}
 }
 
+// checkFailed checks the invariant that a job is answered as failed only if a task of it was at two
+// workers that crashed: it was running, or its agent had not acknowledged its end. No task of a
+// history fails by itself.
+func (s *simulation) checkFailed() {
+	for _, c := range s.callers {
+		if c.state != coordinator.Failed {
+			continue
+		}
+		most := 0
+		for i := range c.job.Tasks {
+			most = max(most, s.lostWithWorker[fmt.Sprintf("%s#%d", c.job.ID, i)])
+		}
+		if most < 2 {
+			s.violate("job %s was answered failed, but no task of it was at two workers that crashed", c.job.ID)
+		}
+	}
+}
+
 // isStartOf reports whether a log line shows that a worker started a task of a job.
 func isStartOf(line string, job specifier.JobID) bool {
 	var at, id, verb, run string
--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -79,6 +79,7 @@
 	}
 	s.run(historyLength + 15*time.Second)
 	s.checkNotRun()
+	s.checkFailed()
 	return s
 }
 
--- a/internal/transient/simulator/simulation_test.go
+++ b/internal/transient/simulator/simulation_test.go
@@ -55,6 +55,9 @@
 	// crashed counts, for each task, the workers that it has crashed, and startsAfterCrashes its
 	// starts after the third.
 	crashed, startsAfterCrashes map[string]int
+	// lostWithWorker counts, for each task, the workers that crashed before their agents had
+	// acknowledged its end there.
+	lostWithWorker map[string]int
 	// completed and notRun count the answers of these states.
 	completed, notRun int
 }
@@ -92,7 +95,7 @@
 
 // newSimulation boots gateways, and agents with a worker each.
 func newSimulation(seed uint64, gateways, agents int) *simulation {
-	s := &simulation{now: epoch, random: rand.New(rand.NewPCG(seed, 1)), crashed: make(map[string]int), startsAfterCrashes: make(map[string]int)}
+	s := &simulation{now: epoch, random: rand.New(rand.NewPCG(seed, 1)), crashed: make(map[string]int), startsAfterCrashes: make(map[string]int), lostWithWorker: make(map[string]int)}
 	for i := range gateways {
 		g := &gateway{sim: s, name: identifier.Entry(fmt.Sprintf("g%d", i))}
 		s.gateways = append(s.gateways, g)
--- a/internal/transient/simulator/worker_test.go
+++ b/internal/transient/simulator/worker_test.go
@@ -38,8 +38,9 @@
 	// ended. Runs up to that number are declined.
 	highestEnded map[string]uint64
 	ended        []executor.EndedRun
-	// lastEnd is the number of the last end.
-	lastEnd int64
+	// lastEnd is the number of the last end, and acknowledged that of the last one that a hold
+	// has acknowledged.
+	lastEnd, acknowledged int64
 	// lossRate is the share of calls that get no answer. Half of these are carried out late.
 	lossRate float64
 	// deaf is set while orders to stop a run get no answer.
@@ -77,7 +78,7 @@
 	w.up, w.silent = true, false
 	w.draining, w.leaving, w.closed = false, false, false
 	w.startedAt = w.sim.now.Truncate(time.Millisecond)
-	w.fence, w.called, w.lastEnd, w.sequence = 0, false, 0, 0
+	w.fence, w.called, w.lastEnd, w.acknowledged, w.sequence = 0, false, 0, 0, 0
 	w.lease = time.Time{}
 	w.running = make(map[executor.RunID]*execution)
 	w.highestEnded = make(map[string]uint64)
@@ -90,6 +91,14 @@
 		return
 	}
 	w.sim.logf("fault worker %s crashed silent=%t", w.id, silent)
+	for run := range w.running {
+		w.sim.lostWithWorker[taskOf(run)]++
+	}
+	for _, e := range w.ended {
+		if e.Number > w.acknowledged {
+			w.sim.lostWithWorker[taskOf(e.Run)]++
+		}
+	}
 	w.up, w.silent = false, silent
 	w.generation++
 	w.sim.after(downtime, w.boot)
@@ -314,6 +323,9 @@
 	}
 	w.fence = h.Fence
 	w.called = w.called || h.Worker.StartedAt.Equal(w.startedAt)
+	if h.Worker.StartedAt.Equal(w.startedAt) {
+		w.acknowledged = max(w.acknowledged, h.LastSeen)
+	}
 	if h.ExtendLease && len(w.running) > 0 {
 		leaseEnd := w.startedAt.Add(h.LeaseEnd)
 		if leaseEnd.Before(w.sim.now) {
