--- /dev/null
+++ b/internal/transient/executor/exit.go
@@ -0,0 +1,75 @@
+package executor
+
+import (
+	"slices"
+	"time"
+)
+
+// handleWorkerExit handles a call whose outcome shows that a worker has exited or that nothing
+// listens at its address. It ends the worker's runs, and adopts its successor if one was
+// reported. The worker gets no more runs until it has accepted a higher fencing token, because
+// it may restart under the same name.
+//
+// A worker that shuts down may close its port before its runs have ended. After its announcement
+// the runs therefore end only when the lease has expired, unless another incarnation answers.
+func (x *Executor) handleWorkerExit(now time.Time, worker WorkerIncarnation, outcome CallOutcome) []Effect {
+	w := x.worker
+	if w == nil || !w.WorkerIncarnation.Equal(worker) {
+		return nil
+	}
+	if outcome == Closed && w.leaving() && w.fenced && !w.leaseOver(now) {
+		return x.handleClosed(now)
+	}
+	var effects []Effect
+	if w.fenced {
+		effects = append(x.recordExit(now), x.endRuns(now, outcome == Restarted)...)
+		w.fenced = false
+		x.Fence++
+		w.fence = x.Fence
+		effects = append(effects, x.sendStatus()...)
+	}
+	w.presence = exited
+	switch {
+	case x.successor != nil:
+		effects = append(effects, x.adopt(now, x.successor.report)...)
+	case w.left:
+		x.worker = nil
+	}
+	return effects
+}
+
+// handleClosed handles the first refusal of a connection by a worker that is leaving.
+func (x *Executor) handleClosed(now time.Time) []Effect {
+	if x.worker.closed {
+		return nil
+	}
+	x.worker.closed = true
+	return append(x.refuseQueue(now), x.sendStatus()...)
+}
+
+// refuseQueue refuses the queued runs, which the worker does not know.
+func (x *Executor) refuseQueue(now time.Time) []Effect {
+	var effects []Effect
+	for _, run := range slices.Clone(x.queue) {
+		effects = append(effects, x.finish(now, run, x.runs[run], Refused, NoWorker)...)
+	}
+	return effects
+}
+
+// endRuns ends the runs of a worker that has exited. Two kinds of runs become uncertain
+// instead, until the next incarnation has accepted a higher fencing token: those whose start
+// order got no answer, because the next incarnation may still carry it out, and, if the next
+// incarnation has already started, those that no hold reply has confirmed, because it may be
+// the one that answered their start order.
+func (x *Executor) endRuns(now time.Time, restarted bool) []Effect {
+	effects := x.refuseQueue(now)
+	for _, run := range x.sortedRuns() {
+		e := x.runs[run]
+		if e.phase == starting || e.phase == uncertain || (restarted && !e.confirmed) {
+			e.phase, e.stopInFlight, e.stopAnswered = uncertain, false, time.Time{}
+			continue
+		}
+		effects = append(effects, x.finish(now, run, e, Lapsed, "")...)
+	}
+	return effects
+}
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -63,36 +63,6 @@
 	Outcome Outcome
 }
 
-// CallOutcome is the outcome of a call to a worker.
-type CallOutcome uint8
-
-// The outcomes of a call to a worker.
-const (
-	// Accepted means that the worker carried out the order.
-	Accepted CallOutcome = iota + 1
-	// Declined means that the order was not carried out and never will be.
-	Declined
-	// Silent means that there was no answer. The order may have been carried out, or may
-	// still be.
-	Silent
-	// Gone means that the worker has exited: another one answered at its address.
-	Gone
-	// Closed means that nothing listens at the worker's address.
-	Closed
-	// Restarted means that another incarnation of the worker answered.
-	Restarted
-	// StaleFence means that the worker refused the order because it has seen a higher
-	// fencing token.
-	StaleFence
-)
-
-var callOutcomeNames = [...]string{Accepted: "accepted", Declined: "declined", Silent: "silent", Gone: "gone", Closed: "closed", Restarted: "restarted", StaleFence: "outdated"}
-
-// String returns the name of o as it appears in logs.
-func (o CallOutcome) String() string {
-	return callOutcomeNames[o]
-}
-
 // NextHold returns the hold to send at now, if there is a worker.
 func (x *Executor) NextHold(now time.Time) (Hold, bool) {
 	w := x.worker
@@ -372,48 +342,6 @@
 	}
 }
 
-// handleWorkerExit handles a call whose outcome shows that a worker has exited or that nothing
-// listens at its address. It ends the worker's runs, and adopts its successor if one was
-// reported. The worker gets no more runs until it has accepted a higher fencing token, because
-// it may restart under the same name.
-//
-// A worker that shuts down may close its port before its runs have ended. After its announcement
-// the runs therefore end only when the lease has expired, unless another incarnation answers.
-func (x *Executor) handleWorkerExit(now time.Time, worker WorkerIncarnation, outcome CallOutcome) []Effect {
-	w := x.worker
-	if w == nil || !w.WorkerIncarnation.Equal(worker) {
-		return nil
-	}
-	if outcome == Closed && w.leaving() && w.fenced && !w.leaseOver(now) {
-		return x.handleClosed(now)
-	}
-	var effects []Effect
-	if w.fenced {
-		effects = append(x.recordExit(now), x.endRuns(now, outcome == Restarted)...)
-		w.fenced = false
-		x.Fence++
-		w.fence = x.Fence
-		effects = append(effects, x.sendStatus()...)
-	}
-	w.presence = exited
-	switch {
-	case x.successor != nil:
-		effects = append(effects, x.adopt(now, x.successor.report)...)
-	case w.left:
-		x.worker = nil
-	}
-	return effects
-}
-
-// handleClosed handles the first refusal of a connection by a worker that is leaving.
-func (x *Executor) handleClosed(now time.Time) []Effect {
-	if x.worker.closed {
-		return nil
-	}
-	x.worker.closed = true
-	return append(x.refuseQueue(now), x.sendStatus()...)
-}
-
 // Tick handles what depends on time alone: permits to be renewed, permits, leases,
 // reservations and queued runs that have expired, and stop orders that must be sent again.
 func (x *Executor) Tick(now time.Time) []Effect {
--- a/internal/transient/executor/report.go
+++ b/internal/transient/executor/report.go
@@ -23,7 +23,7 @@
 }
 
 // Describes reports whether other says the same of the same incarnation of the worker, its
-// the sequence number aside.
+// sequence number aside.
 func (r *WorkerReport) Describes(other *WorkerReport) bool {
 	return r.WorkerIncarnation.Equal(other.WorkerIncarnation) && r.Addr == other.Addr && r.Service == other.Service && r.Zone == other.Zone &&
 		slices.Equal(r.Labels, other.Labels) && r.Capacity == other.Capacity && r.Draining == other.Draining
@@ -75,9 +75,9 @@
 	case len(r.Labels) > maxLabels:
 		return &InvalidReportError{"list of labels", fmt.Sprintf("at most %d labels", maxLabels)}
 	}
-	for field, name := range map[string]string{"name": r.Name, "service": r.Service, "zone": r.Zone} {
-		if len(name) > maxNameBytes {
-			return &InvalidReportError{field, fmt.Sprintf("at most %d bytes", maxNameBytes)}
+	for _, f := range []struct{ name, value string }{{"name", r.Name}, {"service", r.Service}, {"zone", r.Zone}} {
+		if len(f.value) > maxNameBytes {
+			return &InvalidReportError{f.name, fmt.Sprintf("at most %d bytes", maxNameBytes)}
 		}
 	}
 	for _, label := range r.Labels {
--- a/internal/transient/executor/worker.go
+++ b/internal/transient/executor/worker.go
@@ -1,9 +1,6 @@
 package executor
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // WorkerIncarnation identifies one process of a worker. A worker that restarts may keep its
 // name.
@@ -156,38 +153,13 @@
 
 // WorkerLeft handles the deregistration of a worker that shuts down. It names no incarnation
 // and may come late, so it is no evidence that runs have ended: they go on until the worker
-// lists their ends or has exited. Meanwhile the worker gets no more runs.
+// lists their ends or has exited, and the worker is looked at. Meanwhile it gets no more runs.
+// There are no effects if the deregistration names another worker or repeats an earlier one.
 func (x *Executor) WorkerLeft(now time.Time, worker string) []Effect {
 	if x.worker == nil || x.worker.Name != worker || x.worker.left {
 		return nil
 	}
 	x.worker.deregistered, x.worker.left = true, true
-	return append(x.refuseQueue(now), x.sendStatus()...)
-}
-
-// refuseQueue refuses the queued runs, which the worker does not know.
-func (x *Executor) refuseQueue(now time.Time) []Effect {
-	var effects []Effect
-	for _, run := range slices.Clone(x.queue) {
-		effects = append(effects, x.finish(now, run, x.runs[run], Refused, NoWorker)...)
-	}
-	return effects
-}
-
-// endRuns ends the runs of a worker that has exited. Two kinds of runs become uncertain
-// instead, until the next incarnation has accepted a higher fencing token: those whose start
-// order got no answer, because the next incarnation may still carry it out, and, if the next
-// incarnation has already started, those that no hold reply has confirmed, because it may be
-// the one that answered their start order.
-func (x *Executor) endRuns(now time.Time, restarted bool) []Effect {
-	effects := x.refuseQueue(now)
-	for _, run := range x.sortedRuns() {
-		e := x.runs[run]
-		if e.phase == starting || e.phase == uncertain || (restarted && !e.confirmed) {
-			e.phase, e.stopInFlight, e.stopAnswered = uncertain, false, time.Time{}
-			continue
-		}
-		effects = append(effects, x.finish(now, run, e, Lapsed, "")...)
-	}
-	return effects
+	effects := append([]Effect{HoldNow{}}, x.refuseQueue(now)...)
+	return append(effects, x.sendStatus()...)
 }
