--- a/internal/bench/soaker/foreign.go
+++ b/internal/bench/soaker/foreign.go
@@ -38,7 +38,7 @@
 			method = http.MethodDelete
 		} else {
 			var err error
-			if name, body, err = foreignReport(random, w, name); err != nil {
+			if name, body, err = foreignReport(time.Now(), random, w, name); err != nil {
 				s.addViolation(SoakFailure, "encode a report: %s", err)
 				return
 			}
@@ -50,7 +50,7 @@
 
 // foreignReport returns the name and the body of a report that does not describe the present
 // incarnation of a worker.
-func foreignReport(random *rand.Rand, w *worker, name string) (string, []byte, error) {
+func foreignReport(now time.Time, random *rand.Rand, w *worker, name string) (string, []byte, error) {
 	service, addr := standin.Service, w.advertised.String()
 	if random.IntN(2) == 0 {
 		name, service = "foreign", "unknown"
@@ -62,7 +62,7 @@
 	body, err := json.Marshal(map[string]any{
 		"service": service, "addr": addr, "zone": standin.Zone, "state": "ready",
 		"capacity": map[string]int{"cpu": random.IntN(2 * workerCPU)},
-		"clock_ms": random.IntN(1 << 20), "born": time.Now().Add(-age).UnixMilli(), "seq": random.IntN(1 << 20),
+		"clock_ms": random.IntN(1 << 20), "born": now.Add(-age).UnixMilli(), "seq": random.IntN(1 << 20),
 	})
 	return name, body, err
 }
