Start no task for a caller that has closed its connection

What callers saw: nothing. Two gateways ran the same task at once, each for a submission that its caller had given up.

Cause: a gateway learns that a caller has left from a goroutine that reads the connection. The HTTP library starts that goroutine just before the handler, so a request that was closed before it was read is admitted, and its tasks start, before anybody looks. A gateway that is short of processor time reads requests more than a second late; by then the caller has submitted the job to another gateway. A waiting job is started in the same way. The check was made, but not after the last wait before the effect.

Change: before the first start of a placement pass for a job, the gateway asks the kernel whether the connection is still open, without waiting, and ends the job if it is not. The log and a counter tell this from a close that was read.

--- a/internal/gateway/runner/endpoints.go
+++ b/internal/gateway/runner/endpoints.go
@@ -16,7 +16,10 @@
 	// other, peerLinksLost the links between gateways that have ended.
 	manifestsSent, manifestsReceived, peerLinksLost *metrics.Counter
 	// heldInVain counts the jobs of which nothing was started by their deadline.
-	heldInVain    *metrics.Counter
+	heldInVain *metrics.Counter
+	// closedUnread counts the jobs of which no further task was started because their callers had
+	// closed the connection, before this process had read that.
+	closedUnread  *metrics.Counter
 	answerSeconds *metrics.Histogram
 	// events counts the logged events by their names.
 	events map[string]*metrics.Counter
@@ -43,6 +46,9 @@
 		notRun:     count(`answers_total{state="not_run"}`),
 		unfinished: count(`answers_total{state="unfinished"}`),
 		heldInVain: count("jobs_held_in_vain_total"),
+
+		closedUnread: count("jobs_closed_unread_total"),
+
 		events: map[string]*metrics.Counter{
 			coordinator.EventRunLost:        count("runs_lost_total"),
 			coordinator.EventWorkerStalled:  count("workers_stalled_total"),
--- a/internal/gateway/runner/jobs.go
+++ b/internal/gateway/runner/jobs.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dandeliongrade/dandeliongrade/internal/front/listener"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/drainer"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/coordinator"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
@@ -32,38 +33,52 @@
 	return queue, rest, found, r.router.Manifest().Version > 0
 }
 
+// caller is a caller that waits for the answer of a job.
+type caller struct {
+	answer chan coordinator.Answer
+	// connected reports whether the caller has not closed its connection.
+	connected func() bool
+}
+
+// callers holds the caller of each job.
+type callers map[specifier.JobID]*caller
+
+// Waits reports whether the caller of a job still waits for its answer.
+func (c callers) Waits(id specifier.JobID) bool {
+	return c[id] != nil && c[id].connected()
+}
+
 // Submit submits a job and waits for its answer. When a second caller submits the same
 // job, it replaces the first, which is told that the job is unfinished.
 func (r *Runner) Submit(ctx context.Context, job specifier.Job) coordinator.Answer {
-	answer := r.acceptJob(job)
+	c := &caller{answer: make(chan coordinator.Answer, 1), connected: func() bool { return listener.PeerConnected(ctx) }}
+	r.acceptJob(c, job)
 	select {
-	case a := <-answer:
+	case a := <-c.answer:
 		return a
 	case <-ctx.Done():
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.callers[job.ID] == answer {
+	if r.callers[job.ID] == c {
 		delete(r.callers, job.ID)
 		r.perform(r.coordinator.CallerLeft(r.clock(), job.ID))
 	}
 	return coordinator.Answer{State: coordinator.Unfinished}
 }
 
-// acceptJob passes a job to the coordinator, and returns the channel that receives its answer.
-func (r *Runner) acceptJob(job specifier.Job) chan coordinator.Answer {
-	answer := make(chan coordinator.Answer, 1)
+// acceptJob passes the job of a caller to the coordinator.
+func (r *Runner) acceptJob(c *caller, job specifier.Job) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counters.jobs.Inc()
 	if previous := r.callers[job.ID]; previous != nil {
-		previous <- coordinator.Answer{State: coordinator.Unfinished}
+		previous.answer <- coordinator.Answer{State: coordinator.Unfinished}
 	}
-	r.callers[job.ID] = answer
+	r.callers[job.ID] = c
 	r.log.Info("job_accepted", zap.String("job", string(job.ID)), zap.String("queue", job.Queue.Name), zap.Int("tasks", job.Tasks),
 		zap.Duration("budget", job.Budget), zap.Duration("estimate", job.Estimate), zap.Uint64("manifest", r.router.Manifest().Version))
 	r.perform(r.coordinator.Submit(r.clock(), job))
-	return answer
 }
 
 // JobState returns the state of a job.
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -22,7 +22,6 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/member/selector"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/coordinator"
-	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
 )
 
 // tickInterval is the interval at which deadlines and permits are checked. It is short
@@ -71,8 +70,8 @@
 	peerLinks  map[distributor.LinkID]*connector.Link
 	// lastPeer is the highest key of peerLinks so far.
 	lastPeer distributor.LinkID
-	// callers holds, for each job, the channel of the caller that waits for its answer.
-	callers map[specifier.JobID]chan coordinator.Answer
+	// callers holds, for each job, the caller that waits for its answer.
+	callers callers
 	// firstManifest is closed when the first manifest has been adopted.
 	firstManifest chan struct{}
 	// idle receives a token when the last open job has been answered.
@@ -89,13 +88,13 @@
 		incarnation:   identifier.NextIncarnation(clock(), 0),
 		counters:      newCounters(),
 		linker:        linker.New(selector.Process{Name: string(settings.Name), DataCentre: settings.DataCentre}, settings.LinkAddr(), clock),
-		coordinator:   coordinator.Coordinator{Zone: string(settings.DataCentre)},
 		agentLinks:    make(map[identifier.Agent]*connector.Link),
 		peerLinks:     make(map[distributor.LinkID]*connector.Link),
-		callers:       make(map[specifier.JobID]chan coordinator.Answer),
+		callers:       make(callers),
 		firstManifest: make(chan struct{}),
 		idle:          make(chan struct{}, 1),
 	}
+	r.coordinator = coordinator.Coordinator{Zone: string(settings.DataCentre), Callers: r.callers}
 	r.linker.LearnSeeds(settings.SeedLinkAddrs()...)
 	r.lifecycle = drainer.New(func(s drainer.Stage) { log.Info("stage", zap.String("stage", string(s))) })
 	return r
@@ -184,14 +183,17 @@
 func (r *Runner) reply(e *coordinator.Reply) {
 	r.counters.answers(e.Answer.State).Inc()
 	r.counters.answerSeconds.Update(e.Took.Seconds())
-	if e.Cause == coordinator.CauseDeadline && e.Starts == 0 {
+	switch {
+	case e.Cause == coordinator.CauseDeadline && e.Starts == 0:
 		r.counters.heldInVain.Inc()
+	case e.Cause == coordinator.CauseConnectionClosed:
+		r.counters.closedUnread.Inc()
 	}
 	r.log.Info("job_answered", zap.String("job", string(e.Job)), zap.Stringer("state", e.Answer.State), zap.String("cause", e.Cause),
 		zap.Duration("took", e.Took), zap.Duration("placed", e.PlacedAfter), zap.Int("starts", e.Starts), zap.Int("lost", e.Lost))
 	if c := r.callers[e.Job]; c != nil {
 		delete(r.callers, e.Job)
-		c <- e.Answer
+		c.answer <- e.Answer
 	}
 	if r.coordinator.OpenJobs() == 0 {
 		select {
--- a/internal/transient/coordinator/coordinator.go
+++ b/internal/transient/coordinator/coordinator.go
@@ -17,11 +17,21 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
 )
 
+// Callers knows the callers of jobs.
+type Callers interface {
+	// Waits reports whether the caller of a job still waits for its answer. A caller that has
+	// left submits the job again after a while, to any gateway.
+	Waits(id specifier.JobID) bool
+}
+
 // Coordinator holds the jobs of one gateway and what is known of the agents. The zero
 // value is ready for use. A Coordinator is not safe for concurrent use.
 type Coordinator struct {
 	// Zone is the data centre of this gateway.
 	Zone string
+	// Callers is asked before tasks of a job are started, because CallerLeft may come late. If it
+	// is nil, all callers wait.
+	Callers Callers
 
 	jobs   map[specifier.JobID]*job
 	agents map[identifier.Agent]*agent
--- a/internal/transient/coordinator/coordinator_test.go
+++ b/internal/transient/coordinator/coordinator_test.go
@@ -16,7 +16,8 @@
 
 func TestCoordinator(t *testing.T) {
 	scripter.Run(t, "testdata/*.txtar", func() scripter.Step {
-		d := &driver{runs: make(map[string]executor.RunID), queues: make(map[string]string)}
+		d := &driver{runs: make(map[string]executor.RunID), queues: make(map[string]string), closed: make(closedCallers)}
+		d.c.Callers = d.closed
 		return d.step
 	})
 }
@@ -28,14 +29,25 @@
 	runs map[string]executor.RunID
 	// queues holds the queue of each job.
 	queues map[string]string
+	// closed holds the jobs whose callers have closed their connections.
+	closed closedCallers
 	// permitSequence is the sequence number of the last permit request.
 	permitSequence uint64
 }
 
+// closedCallers holds the jobs whose callers have closed their connections.
+type closedCallers map[specifier.JobID]bool
+
+// Waits reports whether the caller of a job has not closed its connection.
+func (c closedCallers) Waits(id specifier.JobID) bool {
+	return !c[id]
+}
+
 // step carries out one line and returns the effects. It understands these lines, in which
 // TASK is a job and an index, such as a#0:
 //
 //	submit JOB TASKS [queue=NAME] [priority=N] [attempts=N] [cpu=N] [estimate=D] [budget=D] [rack=R] [label=L]
+//	close JOB (the caller closes its connection, which caller_left reads later)
 //	caller_left JOB; cancel JOB; state JOB; waiting QUEUE; tick; drain LIMIT; stop
 //	link AGENT INCARNATION; unlink AGENT
 //	attach AGENT CPU [unavailable] [label=L] [has=TASK]... [ended=TASK:OUTCOME]... [crash=STARTED:TASK]... [no_request]
@@ -52,6 +64,8 @@
 		job := parseJob(t, args, options)
 		d.queues[args[0]] = job.Queue.Name
 		effects = d.c.Submit(now, job)
+	case "close":
+		d.closed[specifier.JobID(args[0])] = true
 	case "caller_left":
 		effects = d.c.CallerLeft(now, specifier.JobID(args[0]))
 	case "cancel":
--- a/internal/transient/coordinator/effects.go
+++ b/internal/transient/coordinator/effects.go
@@ -90,6 +90,10 @@
 	EventQueueReleased = "queue_released"
 )
 
+// CauseConnectionClosed is the cause of an answer that is given because the caller was found to have
+// closed its connection when a task was to be started. It goes to nobody.
+const CauseConnectionClosed = "connection_closed"
+
 // CauseDeadline is the cause of an answer that is given because the caller stops waiting.
 const CauseDeadline = "deadline"
 
--- a/internal/transient/coordinator/placement.go
+++ b/internal/transient/coordinator/placement.go
@@ -81,8 +81,13 @@
 		j := c.waiting[i]
 		required := c.requirement(j)
 		if !slices.ContainsFunc(unmet, required.exceeds) {
-			starts, full := c.placeJob(now, j)
+			starts, full, left := c.placeJob(now, j)
 			effects = append(effects, starts...)
+			if left {
+				// Removes the job from c.waiting.
+				effects = append(effects, c.end(now, j, j.abandonedAnswer(), CauseConnectionClosed)...)
+				continue
+			}
 			if len(j.pending) == 0 {
 				c.waiting = slices.Delete(c.waiting, i, i+1)
 				continue
@@ -119,9 +124,9 @@
 
 // placeJob starts pending tasks of a job until no agent has the capacity for the next one, and
 // reports whether that is so. Suspects that have to wait for other suspects do not hold up the
-// tasks behind them.
-func (c *Coordinator) placeJob(now time.Time, j *job) (effects []Effect, full bool) {
-	var left []int
+// tasks behind them. It starts nothing and reports left if the caller of the job has left.
+func (c *Coordinator) placeJob(now time.Time, j *job) (effects []Effect, full, left bool) {
+	var held []int
 	var lanes []*agent
 	confined := c.confined(j)
 	if confined {
@@ -130,17 +135,19 @@
 	for i, index := range j.pending {
 		a := c.chooseAgent(now, j, index, func(a *agent) bool { return !confined || slices.Contains(lanes, a) })
 		switch {
+		case a != nil && len(effects) == 0 && c.Callers != nil && !c.Callers.Waits(j.ID):
+			return nil, false, true
 		case a != nil:
 			effects = append(effects, c.startTask(now, a, j, index))
 		case c.suspected(j, index):
-			left = append(left, index)
+			held = append(held, index)
 		default:
-			j.pending = append(left, j.pending[i:]...)
-			return effects, true
+			j.pending = append(held, j.pending[i:]...)
+			return effects, true, false
 		}
 	}
-	j.pending = left
-	return effects, false
+	j.pending = held
+	return effects, false, false
 }
 
 // startTask sends a task to an agent as a new run. Run numbers follow the clock, so that
--- a/internal/transient/simulator/caller_test.go
+++ b/internal/transient/simulator/caller_test.go
@@ -39,6 +39,8 @@
 	gateway    *gateway
 	generation int
 	ended      bool
+	// closed is set once the close of the connection has arrived at the gateway's machine.
+	closed bool
 }
 
 // submit adds a caller, who submits job number n at once.
@@ -95,6 +97,7 @@
 		return
 	}
 	if sub.gateway.generation == sub.generation {
+		sub.caller.sim.after(time.Millisecond, func() { sub.closed = true })
 		sub.gateway.schedule(time.Millisecond, sub, func() {
 			if sub.gateway.callers[sub.caller.job.ID] == sub {
 				delete(sub.gateway.callers, sub.caller.job.ID)
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -29,7 +29,7 @@
 	g.up, g.frozen, g.deferred = true, false, nil
 	g.generation++
 	g.incarnation = identifier.NextIncarnation(g.sim.now, g.incarnation)
-	g.coordinator = &coordinator.Coordinator{}
+	g.coordinator = &coordinator.Coordinator{Callers: g}
 	g.links = make(map[*agent]*link)
 	g.callers = make(map[specifier.JobID]*submission)
 	g.every(tickInterval, func() { g.perform(g.coordinator.Tick(g.sim.now)) })
@@ -43,6 +43,11 @@
 	})
 }
 
+// Waits reports whether the caller of a job has not closed its connection.
+func (g *gateway) Waits(id specifier.JobID) bool {
+	return g.callers[id] != nil && !g.callers[id].closed
+}
+
 // kill ends the process and boots it again after the downtime. After a power loss neither
 // agents nor callers see their connections close.
 func (g *gateway) kill(powerLoss bool, downtime time.Duration) {
