Count the wait for a stop from the last permit before it

What callers saw: a task that ran twice, after its caller had left early while the link between gateway and sidecar was down and the worker left the orders to stop it unanswered.

Cause: the 600 ms for which the lease is still extended counted from the arrival of the stop at the sidecar. A stop that has to wait for the next link arrives up to 450 ms later.

Evidence: history 1506: a link goes silent at 9.831 s, the caller leaves at 9.889 s, the stop arrives on the next link at 10.178 s, and the run lapses at 11.206 s, 17 ms after its task was submitted again.

Change: messages of a gateway arrive in order, and what a link has lost is sent again before the next permit. So a stop is not older than the last permit before it, and its wait counts from there. No message changes.

--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -155,7 +155,7 @@
 	// revoked is set when the run may not continue: the permit of its gateway has
 	// expired, or the gateway has restarted.
 	revoked bool
-	// stopRequested is when the gateway first asked to stop the run.
+	// stopRequested is a time after which the gateway first asked to stop the run.
 	stopRequested time.Time
 	// stopSent is when the last order to stop the run was sent, and stopAnswered is
 	// when the worker accepted one.
@@ -249,7 +249,7 @@
 func (x *Executor) HandleStop(now time.Time, gateway identifier.Entry, m *Stop) []Effect {
 	if e := x.runs[m.Run]; e != nil {
 		if e.stopRequested.IsZero() {
-			e.stopRequested = now
+			e.stopRequested = x.latestPermit(now, e)
 		}
 		return x.stopRun(now, m.Run, e)
 	}
@@ -272,6 +272,17 @@
 	return x.sendEnd(now, gateway, g, Ended{Run: m.Run, Outcome: Refused, Reason: Unanswered})
 }
 
+// latestPermit returns the time of the latest permit for a run, or now if there is none. Messages of a
+// gateway arrive in order, and what a broken link has lost is sent after its last permit, so what
+// the gateway asks for now it has not asked for before that time.
+func (x *Executor) latestPermit(now time.Time, e *execution) time.Time {
+	g := x.gatewayOf(e)
+	if g == nil || g.permitExpiry.IsZero() {
+		return now
+	}
+	return g.permitExpiry.Add(-PermitDuration)
+}
+
 // stopRun orders the worker to stop a run, unless an order is in flight, was sent less
 // than stopRetryInterval ago or has been accepted. A queued run ends at once.
 func (x *Executor) stopRun(now time.Time, run RunID, e *execution) []Effect {
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -114,7 +114,8 @@
 	return g != nil && now.Before(g.permitExpiry)
 }
 
-// stopOverdue reports whether the worker has accepted no order to stop the run for maxStopWait.
+// stopOverdue reports whether the worker has accepted no order to stop the run for maxStopWait. The
+// time for which the gateway's request was on its way counts.
 func (e *execution) stopOverdue(now time.Time) bool {
 	return !e.stopRequested.IsZero() && now.Sub(e.stopRequested) >= maxStopWait
 }
--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -31,6 +31,8 @@
 var regressions = []uint64{
 	// Late extensions of the lease kept runs alive while an agent was down or withheld the lease.
 	1292, 2138, 2241, 5634, 5815, 6175,
+	// A stop was delivered late, on the link after a broken one, and the worker left it unanswered.
+	1506,
 }
 
 // TestHistoryRegressions simulates the histories that have failed. A change of the model changes
