Grant no permit for runs of callers that have left

A gateway that is short of processor time granted permits for runs while the close of a caller's connection lay unread, so the time from that close to the end of the runs had no bound but the gateway's own speed. The caller submits its job elsewhere 1.3 s after the close.

Change: before a permit, and before a start, which carries one, the gateway asks the kernel for the connections of all callers, once in 100 ms, and stops the jobs of those that have left. A run is over 1.23 s after the close has arrived at the gateway's machine, whatever the gateway has read: 100 ms of this check, 600 ms for which the worker may leave the stop unanswered, the lease and its margin; a gateway that does not get to grant permits ends it sooner.

--- a/internal/transient/coordinator/agents.go
+++ b/internal/transient/coordinator/agents.go
@@ -150,8 +150,10 @@
 		return nil
 	}
 	a.lastRequest, a.requestedAt = m.Sequence, now
+	effects := c.checkCallers(now)
 	permit := a.grantPermit(now)
-	return append([]Effect{Send{name, &permit}}, c.HandleLoad(now, name, m.UsedByOthers)...)
+	effects = append(effects, Send{name, &permit})
+	return append(effects, c.HandleLoad(now, name, m.UsedByOthers)...)
 }
 
 // grantPermit returns a permit that refers to the last request, and must be sent at now.
--- a/internal/transient/coordinator/coordinator.go
+++ b/internal/transient/coordinator/coordinator.go
@@ -29,8 +29,8 @@
 type Coordinator struct {
 	// Zone is the data centre of this gateway.
 	Zone string
-	// Callers is asked before tasks of a job are started, because CallerLeft may come late. If it
-	// is nil, all callers wait.
+	// Callers is asked before tasks are started and permits granted, because CallerLeft may come
+	// late. If it is nil, all callers wait.
 	Callers Callers
 
 	jobs   map[specifier.JobID]*job
@@ -56,6 +56,8 @@
 	lastNumber uint64
 	// lastTick is the time of the last Tick. No task is started before resumeAt.
 	lastTick, resumeAt time.Time
+	// callersChecked is when checkCallers last asked for all callers.
+	callersChecked time.Time
 	// drainEnd is set once the gateway drains. A new job is accepted only if it is likely
 	// to end by then.
 	drainEnd time.Time
@@ -168,6 +170,25 @@
 	return append(c.end(now, j, Answer{State: Unfinished}, "caller_left"), c.place(now)...)
 }
 
+// callerCheckInterval is the time between two checks of all callers.
+const callerCheckInterval = 100 * time.Millisecond
+
+// checkCallers stops the jobs whose callers have closed their connections. It is called before each
+// permit, so that no permit keeps a run alive whose caller left more than callerCheckInterval before.
+func (c *Coordinator) checkCallers(now time.Time) []Effect {
+	if c.Callers == nil || now.Sub(c.callersChecked) < callerCheckInterval {
+		return nil
+	}
+	c.callersChecked = now
+	var effects []Effect
+	for _, j := range c.sortedJobs() {
+		if !j.ended && !c.Callers.Waits(j.ID) {
+			effects = append(effects, c.end(now, j, j.abandonedAnswer(), CauseConnectionClosed)...)
+		}
+	}
+	return effects
+}
+
 // Cancel stops a job and returns its state afterwards.
 func (c *Coordinator) Cancel(now time.Time, id specifier.JobID) (State, []Effect) {
 	j := c.jobs[id]
--- a/internal/transient/coordinator/placement.go
+++ b/internal/transient/coordinator/placement.go
@@ -75,7 +75,7 @@
 	if c.paused(now) || now.Before(c.resumeAt) {
 		return nil
 	}
-	var effects []Effect
+	effects := c.checkCallers(now)
 	var unmet []requirement
 	for i, skipped := 0, 0; i < len(c.waiting) && skipped < maxSkipped; {
 		j := c.waiting[i]
