Starve gateways and send the jobs of early leavers again in the soak

A soak now lets a gateway run for 3 ms in 93 for up to four seconds, every five seconds, and callers that give up early submit their jobs again. The faults of a seed are otherwise as they were.

--- a/internal/bench/soaker/callers.go
+++ b/internal/bench/soaker/callers.go
@@ -27,9 +27,10 @@
 	maxThinkTime = 100 * time.Millisecond
 	// maxTasks is the number of tasks of the largest jobs.
 	maxTasks = 4
-	// cancelShare of the jobs are cancelled, abandonShare have a caller that gives up early.
+	// cancelShare of the jobs are cancelled, abandonShare have a caller that gives up early, and
+	// sends the job again like the others.
 	cancelShare  = 0.05
-	abandonShare = 0.05
+	abandonShare = 0.15
 	// slowJobShare of the jobs run for so long that silent connections and lapsed permits occur
 	// while they run.
 	slowJobShare = 0.25
@@ -73,9 +74,9 @@
 		case draw < cancelShare && !j.mustServe:
 			s.sendAndCancel(ctx, random, j, wait)
 		case draw < cancelShare+abandonShare && !j.mustServe:
-			s.send(ctx, &s.impatientCallers, s.randomGateway(random), j)
+			s.sendUntilAnswered(ctx, random, j, &s.impatientCallers)
 		default:
-			s.sendUntilAnswered(ctx, random, j)
+			s.sendUntilAnswered(ctx, random, j, &s.callers)
 		}
 		sleep(ctx, time.Duration(random.Int64N(int64(maxThinkTime))))
 	}
@@ -88,7 +89,7 @@
 
 // sendUntilAnswered sends a job, and sends it again while it gets no answer or a gateway error
 // that leaves its outcome open.
-func (s *soak) sendUntilAnswered(ctx context.Context, random *rand.Rand, j *job) {
+func (s *soak) sendUntilAnswered(ctx context.Context, random *rand.Rand, j *job, callers *standin.CallerClient) {
 	for n := range maxSends {
 		if n > 0 {
 			sleep(ctx, resendDelay)
@@ -97,7 +98,7 @@
 			return
 		}
 		began := time.Now()
-		status, answer := s.send(ctx, &s.callers, s.randomGateway(random), j)
+		status, answer := s.send(ctx, callers, s.randomGateway(random), j)
 		if j.mustServe && ctx.Err() == nil && (status != http.StatusOK || !strings.Contains(answer, "completed")) {
 			s.jobNotServed(began, time.Now(), "job %s of %d tasks got %d %s in the fault-free period", j.id, j.tasks, status, answer)
 		}
--- a/internal/bench/soaker/faults.go
+++ b/internal/bench/soaker/faults.go
@@ -21,6 +21,8 @@
 		s.terminate(ctx, s.processes[f.Target], f.Duration)
 	case Pause:
 		s.processes[f.Target].pause(ctx, f.Duration)
+	case Starve:
+		s.processes[f.Target].starve(ctx, f.Duration)
 	case Reload:
 		s.processes[f.Target].signal(syscall.SIGHUP)
 	case Delay, Reset, Silence, CutOneWay:
--- a/internal/bench/soaker/plan.go
+++ b/internal/bench/soaker/plan.go
@@ -20,6 +20,8 @@
 	Pause     FaultKind = "pause"
 	// Reload sends SIGHUP, on which a process reads its settings again.
 	Reload FaultKind = "reload"
+	// Starve lets a process run for a small part of the time only.
+	Starve FaultKind = "starve"
 
 	Delay FaultKind = "delay"
 	Reset FaultKind = "reset"
@@ -93,6 +95,10 @@
 	// times in all.
 	seriesShare  = 0.25
 	seriesLength = 3
+	// starveEvery is the time between the starts of two Starve faults, and longestStarve their
+	// longest duration.
+	starveEvery   = 5 * time.Second
+	longestStarve = 4 * time.Second
 )
 
 // GeneratePlan returns the faults of a soak in order of time. The same arguments always give
@@ -117,10 +123,24 @@
 			f.At += f.Duration + drawDuration(random)/seriesLength
 		}
 	}
+	plan = append(plan, starvation(seed, end, size)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
+// starvation returns the Starve faults of a plan. They are drawn from random numbers of their own, so
+// that the other faults of a seed stay as they are.
+func starvation(seed uint64, end time.Duration, size Size) []Fault {
+	random := rand.New(rand.NewPCG(seed, seed+1))
+	names := size.gateways()
+	var faults []Fault
+	for at := warmUp; at < end; at += starveEvery {
+		d := time.Duration(random.Int64N(int64(min(longestStarve, end-at))))
+		faults = append(faults, Fault{At: at, Duration: d, Kind: Starve, Target: names[random.IntN(len(names))]})
+	}
+	return faults
+}
+
 // drawDuration draws the duration of a fault from a log-uniform distribution, since the time
 // limits that faults have to hit lie between a tenth of a second and a second.
 func drawDuration(random *rand.Rand) time.Duration {
--- a/internal/bench/soaker/process.go
+++ b/internal/bench/soaker/process.go
@@ -143,6 +143,20 @@
 	p.pausedFor += time.Since(start)
 }
 
+// A starved process runs for starveRun and stands still for starveStop, in turns.
+const (
+	starveRun  = 3 * time.Millisecond
+	starveStop = 90 * time.Millisecond
+)
+
+// starve lets the current incarnation run for a small part of the time, for a duration.
+func (p *process) starve(ctx context.Context, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; {
+		p.pause(ctx, starveStop)
+		sleep(ctx, starveRun)
+	}
+}
+
 // totalPause returns how long the process was paused in all pauses so far.
 func (p *process) totalPause() time.Duration {
 	p.mu.Lock()
