Ask for the callers of started jobs only, before a permit

Waiting jobs are asked for when they are started. Under peak load hundreds of them wait at a gateway, and a look at each, ten times a second, would take processor time that is short then. The golden cases are unchanged.

--- a/internal/transient/coordinator/coordinator.go
+++ b/internal/transient/coordinator/coordinator.go
@@ -17,13 +17,6 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
 )
 
-// Callers knows the callers of jobs.
-type Callers interface {
-	// Waits reports whether the caller of a job still waits for its answer. A caller that has
-	// left submits the job again after a while, to any gateway.
-	Waits(id specifier.JobID) bool
-}
-
 // Coordinator holds the jobs of one gateway and what is known of the agents. The zero
 // value is ready for use. A Coordinator is not safe for concurrent use.
 type Coordinator struct {
@@ -170,25 +163,6 @@
 	return append(c.end(now, j, Answer{State: Unfinished}, "caller_left"), c.place(now)...)
 }
 
-// callerCheckInterval is the time between two checks of all callers.
-const callerCheckInterval = 100 * time.Millisecond
-
-// checkCallers stops the jobs whose callers have closed their connections. It is called before each
-// permit, so that no permit keeps a run alive whose caller left more than callerCheckInterval before.
-func (c *Coordinator) checkCallers(now time.Time) []Effect {
-	if c.Callers == nil || now.Sub(c.callersChecked) < callerCheckInterval {
-		return nil
-	}
-	c.callersChecked = now
-	var effects []Effect
-	for _, j := range c.sortedJobs() {
-		if !j.ended && !c.Callers.Waits(j.ID) {
-			effects = append(effects, c.end(now, j, j.abandonedAnswer(), CauseConnectionClosed)...)
-		}
-	}
-	return effects
-}
-
 // Cancel stops a job and returns its state afterwards.
 func (c *Coordinator) Cancel(now time.Time, id specifier.JobID) (State, []Effect) {
 	j := c.jobs[id]
--- a/internal/transient/coordinator/placement.go
+++ b/internal/transient/coordinator/placement.go
@@ -135,7 +135,7 @@
 	for i, index := range j.pending {
 		a := c.chooseAgent(now, j, index, func(a *agent) bool { return !confined || slices.Contains(lanes, a) })
 		switch {
-		case a != nil && len(effects) == 0 && c.Callers != nil && !c.Callers.Waits(j.ID):
+		case a != nil && len(effects) == 0 && !c.callerWaits(j):
 			return nil, false, true
 		case a != nil:
 			effects = append(effects, c.startTask(now, a, j, index))
