End a write that makes no progress, not one that is slow

Callers saw: links that carried a large message, a manifest for example, closed under load, and the message lost.

Cause: a write had one deadline for each 64 KiB. It bounded a transfer where silence is meant, and, as that of a read, it fired without a last attempt after the process had stood still.

Change: a write is tried for an eighth of the timeout at a time, and ends when nothing was accepted for the whole of it. The last attempt has a deadline of its own, so a standstill of the process does not count as one of the peer. 64 KiB are no unit any more: a peer that accepts less in the timeout keeps its link; what queues up for it stays bounded (maxPendingBytes).

Ruled out: a full deadline for each part of a write. It does not say when the last byte was accepted, so a peer that stops could take twice the timeout to be found. Here it is at most the timeout.

--- a/internal/link/connector/link.go
+++ b/internal/link/connector/link.go
@@ -9,7 +9,6 @@
 	"net"
 	"os"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"time"
 
@@ -27,12 +26,12 @@
 	// SilenceTimeout is the longest time without a byte from the peer; after it, the
 	// connection is closed.
 	SilenceTimeout time.Duration
-	// ResponseTimeout bounds the handshake, and the writing of each maxWriteBytes. Zero
-	// stands for SilenceTimeout.
+	// ResponseTimeout bounds the handshake, and the time in which a write makes no progress.
+	// Zero stands for SilenceTimeout.
 	ResponseTimeout time.Duration
 }
 
-// responseTimeout returns the bound on the handshake and on the writing of maxWriteBytes.
+// responseTimeout returns the bound on the handshake and on a write without progress.
 func (t *Timing) responseTimeout() time.Duration {
 	if t.ResponseTimeout > 0 {
 		return t.ResponseTimeout
@@ -44,10 +43,6 @@
 // accumulate is treated as one that is silent: the link is closed.
 const maxPendingBytes = 64 << 20
 
-// maxWriteBytes is the number of bytes after which the timeout of a write starts anew, so that a
-// large message may take longer than the timeout. A link of 2 Mbit/s carries it in 260 ms.
-const maxWriteBytes = 64 << 10
-
 // errPeerNotReading is returned when the peer does not read fast enough.
 var errPeerNotReading = errors.New("the peer does not read from the link; the link is closed and will be dialled again")
 
@@ -234,13 +229,26 @@
 	}
 }
 
-// writeBatch writes b, and fails when a part of it is not accepted within the timeout.
+// writeBatch writes b, and fails when nothing more of it is accepted within the timeout. It tries
+// for a part of the timeout at a time, so that it knows of progress, and so that the last attempt
+// begins after any standstill of this process.
 func (l *Link) writeBatch(b []byte) error {
-	for part := range slices.Chunk(b, maxWriteBytes) {
-		if err := l.conn.SetWriteDeadline(time.Now().Add(l.timing.responseTimeout())); err != nil {
+	timeout := l.timing.responseTimeout()
+	look := timeout / lookShare
+	// progressed is when the last attempt with progress began.
+	progressed := time.Now()
+	for len(b) > 0 {
+		began := time.Now()
+		if err := l.conn.SetWriteDeadline(began.Add(look)); err != nil {
 			return err
 		}
-		if _, err := l.conn.Write(part); err != nil {
+		n, err := l.conn.Write(b)
+		b = b[n:]
+		if n > 0 {
+			progressed = began
+		}
+		expired := errors.Is(err, os.ErrDeadlineExceeded)
+		if err != nil && (!expired || began.Sub(progressed) >= timeout-look) {
 			return err
 		}
 	}
