Simulate histories in which all processes are short of processor time

Sidecars are slow too, decisions of slow processes wait before they are sent, workers lose half of the calls for up to eight seconds, and all callers leave after 60 to 150 ms. In every second history workers take the end of a lease as a time on their clock, as the platform states, and late calls may come at once. In the others they count it from the arrival, and a start that is refused as old extends the lease, as the platform states. TestHistories is unchanged.

--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -24,7 +24,7 @@
 // told that they did not. A failure names its seed; run the test with -seed N -histories 1 -v
 // to see the log of that history.
 func TestHistories(t *testing.T) {
-	testHistories(t, *histories, 0)
+	testHistories(t, *histories, func(seed uint64) *simulation { return simulateHistory(seed, 0) })
 }
 
 // regressions holds the seeds of histories that have failed.
@@ -51,15 +51,14 @@
 // TestCrashingHistories simulates the histories of TestHistories with jobs whose first task
 // crashes each worker that starts it.
 func TestCrashingHistories(t *testing.T) {
-	testHistories(t, (*histories+2)/3, crashingEvery)
+	testHistories(t, (*histories+2)/3, func(seed uint64) *simulation { return simulateHistory(seed, crashingEvery) })
 }
 
-// testHistories simulates histories, in which each job crashes workers whose number is a multiple
-// of crashing, if that is not zero.
-func testHistories(t *testing.T, histories, crashing int) {
+// testHistories simulates histories and reports those that violate an invariant.
+func testHistories(t *testing.T, histories int, simulate func(seed uint64) *simulation) {
 	starts, completed, notRun := 0, 0, 0
 	for seed := *firstSeed; seed < *firstSeed+uint64(histories); seed++ {
-		s := simulateHistory(seed, crashing)
+		s := simulate(seed)
 		starts += s.starts
 		completed += s.completed
 		notRun += s.notRun
@@ -76,9 +75,47 @@
 	assert.Assert(t, completed > histories, "too few jobs completed for the result to be meaningful")
 }
 
-// simulateHistory simulates one history with two gateways and three agents.
+// simulateHistory simulates one history with two gateways and three agents. Each job crashes workers
+// whose number is a multiple of crashing, if that is not zero.
 func simulateHistory(seed uint64, crashing int) *simulation {
 	s := newSimulation(seed, 2, 3)
+	s.submitAndFail(crashing)
+	return s
+}
+
+// TestStarvedHistories simulates histories in which all processes are short of processor time at
+// times, workers lose half of the calls, and most callers leave early. It guards against decisions
+// that are older than the last wait before their effect. In every second history, workers take the
+// end of a lease as a time on their clock, as the platform states, and late calls may come at once.
+func TestStarvedHistories(t *testing.T) {
+	testHistories(t, (*histories+2)/3, simulateStarvedHistory)
+}
+
+// starvedRegressions holds the seeds of starved histories that have failed.
+var starvedRegressions = []uint64{
+	// A late start of a run that had ended extended the lease.
+	2597,
+}
+
+// TestStarvedRegressions simulates the starved histories that have failed.
+func TestStarvedRegressions(t *testing.T) {
+	for _, seed := range starvedRegressions {
+		if s := simulateStarvedHistory(seed); len(s.violations) > 0 {
+			t.Errorf("seed %d: %s", seed, s.violations[0])
+		}
+	}
+}
+
+// simulateStarvedHistory simulates one history of TestStarvedHistories.
+func simulateStarvedHistory(seed uint64) *simulation {
+	s := newSimulation(seed, 2, 3)
+	s.starved, s.exactLeases = true, seed%2 == 0
+	s.submitAndFail(0)
+	return s
+}
+
+// submitAndFail submits the jobs of a history and injects its faults.
+func (s *simulation) submitAndFail(crashing int) {
 	s.releases = true
 	s.run(200 * time.Millisecond)
 	n := 0
@@ -98,11 +135,14 @@
 	s.run(historyLength + 15*time.Second)
 	s.checkNotRun()
 	s.checkFailed()
-	return s
 }
 
-// patience returns how long the next caller waits for an answer. A third of the callers leave early.
+// patience returns how long the next caller waits for an answer. A third of the callers leave early,
+// and all of them in starved histories.
 func (s *simulation) patience() time.Duration {
+	if s.starved {
+		return time.Duration(60+s.random.IntN(90)) * time.Millisecond
+	}
 	if s.random.IntN(3) > 0 {
 		return 0
 	}
@@ -120,7 +160,11 @@
 	g := s.gateways[s.random.IntN(len(s.gateways))]
 	a := s.agents[s.random.IntN(len(s.agents))]
 	d := time.Duration(s.random.IntN(4000)) * time.Millisecond
-	switch s.random.IntN(17) {
+	kinds := 17
+	if s.starved {
+		kinds = 22
+	}
+	switch s.random.IntN(kinds) {
 	case 0:
 		g.kill(false, 100*time.Millisecond+d/4)
 	case 1:
@@ -174,6 +218,23 @@
 		lag := time.Duration(1 + s.random.Int64N(int64(maxLag)))
 		s.logf("fault %s short of processor time, lag %s for %s", g.name, lag, d)
 		g.slow(lag, d)
+	case 17, 18:
+		lag := time.Duration(1 + s.random.Int64N(int64(maxLag)))
+		s.logf("fault %s short of processor time, lag %s for %s", a.name, lag, d)
+		a.slow(lag, d)
+	case 19, 20:
+		lag := time.Duration(1 + s.random.Int64N(int64(maxLag)))
+		s.logf("fault all short of processor time, lag %s for %s", lag, d)
+		for _, g := range s.gateways {
+			g.slow(lag, d)
+		}
+		for _, a := range s.agents {
+			a.slow(lag, d)
+		}
+	case 21:
+		s.logf("fault worker %s loses half of the calls for %s", a.worker.id, 2*d)
+		a.worker.lossRate = 0.5
+		s.after(2*d, func() { a.worker.lossRate = 0 })
 	}
 }
 
--- a/internal/transient/simulator/link_test.go
+++ b/internal/transient/simulator/link_test.go
@@ -41,7 +41,7 @@
 	}
 	l.sim.messages++
 	l.toAgent = append(l.toAgent, m)
-	at := l.sim.now.Add(l.delay())
+	at := l.sim.now.Add(l.gateway.sendDelay() + l.delay())
 	if at.Before(l.agentNextArrival) {
 		at = l.agentNextArrival
 	}
@@ -56,7 +56,7 @@
 	}
 	l.sim.messages++
 	l.toGateway = append(l.toGateway, m)
-	at := l.sim.now.Add(l.delay())
+	at := l.sim.now.Add(l.agent.sendDelay() + l.delay())
 	if at.Before(l.gatewayNextArrival) {
 		at = l.gatewayNextArrival
 	}
--- a/internal/transient/simulator/simulation_test.go
+++ b/internal/transient/simulator/simulation_test.go
@@ -44,6 +44,12 @@
 	violations []string
 	// promptHolds is set if workers answer a hold when a run ends, and not later.
 	promptHolds bool
+	// starved is set if all processes may be short of processor time, also between a decision and
+	// its effect, and all callers leave early.
+	starved bool
+	// exactLeases is set if workers take the end of a lease as a time on their clock. Otherwise they
+	// count a lease that has ended from the arrival of the call.
+	exactLeases bool
 	// releases is set if agents release links at random.
 	releases bool
 	// messages counts the messages on all links.
@@ -219,6 +225,14 @@
 	h.sim.after(d, func() { h.lag = 0 })
 }
 
+// sendDelay returns how long a message waits in the process before it is sent.
+func (h *host) sendDelay() time.Duration {
+	if !h.sim.starved || h.lag == 0 {
+		return 0
+	}
+	return time.Duration(h.sim.random.Int64N(int64(h.lag)))
+}
+
 // deliverNext is like deliver for an event that is the next of its source.
 func (h *host) deliverNext(generation int, source any, run func()) {
 	switch {
--- a/internal/transient/simulator/worker_test.go
+++ b/internal/transient/simulator/worker_test.go
@@ -172,6 +172,18 @@
 	lost := w.sim.random.Float64() < w.lossRate || (w.deaf && strings.HasPrefix(what, "stop"))
 	late := lost && w.sim.random.IntN(2) == 0
 	generation := a.generation
+	waits := a.sendDelay()
+	if w.sim.exactLeases && waits+delay > callTimeout {
+		// The call is sent although the agent has given it up.
+		w.sim.after(waits+delay, func() {
+			if w.up && !w.closed && !lost {
+				w.sim.logf("overdue %s at %s", what, w.id)
+				do()
+			}
+		})
+		w.sim.after(callTimeout, func() { a.deliver(generation, new(int), func() { reply(executor.Silent) }) })
+		return
+	}
 	w.sim.after(delay, func() {
 		switch {
 		case w.closed, !w.up && !w.silent:
@@ -179,7 +191,7 @@
 		case !w.up || lost:
 			if late {
 				w.sim.logf("late %s at %s", what, w.id)
-				w.sim.after(2*time.Second+time.Duration(w.sim.random.IntN(4000))*time.Millisecond, func() {
+				w.sim.after(w.lateness(), func() {
 					if w.up {
 						do()
 					}
@@ -193,6 +205,14 @@
 	})
 }
 
+// lateness returns how late a call is carried out that got no answer.
+func (w *worker) lateness() time.Duration {
+	if w.sim.exactLeases {
+		return time.Duration(w.sim.random.IntN(6000)) * time.Millisecond
+	}
+	return 2*time.Second + time.Duration(w.sim.random.IntN(4000))*time.Millisecond
+}
+
 // startRun starts a run, unless the fencing token is stale or the run was stopped or has ended
 // before.
 func (w *worker) startRun(s executor.StartRun) executor.CallOutcome {
@@ -215,6 +235,12 @@
 		return executor.Accepted
 	}
 	if w.highestEnded[taskOf(s.Run)] >= s.Run.Number {
+		if w.sim.starved {
+			w.extendBy(leaseEnd)
+		}
+		return executor.Declined
+	}
+	if w.sim.exactLeases && leaseEnd.Before(w.sim.now) {
 		return executor.Declined
 	}
 	if leaseEnd.Before(w.sim.now) {
@@ -262,6 +288,17 @@
 	return executor.Accepted
 }
 
+// extendBy extends the lease of the present runs by a call that names its end.
+func (w *worker) extendBy(leaseEnd time.Time) {
+	if len(w.running) == 0 {
+		return
+	}
+	if leaseEnd.Before(w.sim.now) && !w.sim.exactLeases {
+		leaseEnd = w.sim.now.Add(executor.LeaseDuration)
+	}
+	w.extend(leaseEnd)
+}
+
 // extend extends the lease, to no later than one second from now. Runs lapse when it ends.
 func (w *worker) extend(leaseEnd time.Time) {
 	if limit := w.sim.now.Add(time.Second); leaseEnd.After(limit) {
@@ -326,12 +363,8 @@
 	if h.Worker.StartedAt.Equal(w.startedAt) {
 		w.acknowledged = max(w.acknowledged, h.LastSeen)
 	}
-	if h.ExtendLease && len(w.running) > 0 {
-		leaseEnd := w.startedAt.Add(h.LeaseEnd)
-		if leaseEnd.Before(w.sim.now) {
-			leaseEnd = w.sim.now.Add(executor.LeaseDuration)
-		}
-		w.extend(leaseEnd)
+	if h.ExtendLease {
+		w.extendBy(w.startedAt.Add(h.LeaseEnd))
 	}
 	if !h.Worker.StartedAt.Equal(w.startedAt) {
 		return executor.HoldReply{}, executor.Restarted
