Fence off an unanswered start even if its run has ended meanwhile

What callers saw: nothing but, at times, a task that ran twice on a worker that leaves stops unanswered.

Cause: the token was not raised when a start got no answer and its run had ended before that was known, because the record of the run was gone. The call may be carried out later, and extends the lease even if the worker refuses the run as old.

Change: the token is raised before the run is looked up.

--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -131,6 +131,11 @@
 		}
 		return effects
 	}
+	if outcome == Silent {
+		// The call may extend the lease even if its run has ended meanwhile.
+		x.noteUnanswered(now, order.Worker)
+		x.fenceOff(order.Worker, order.Fence)
+	}
 	if e == nil || !e.worker.Equal(order.Worker) {
 		return nil
 	}
@@ -138,8 +143,6 @@
 	case outcome == Declined, outcome == StaleFence:
 		return x.finish(now, order.Run, e, Refused, Rejected)
 	case outcome == Silent:
-		x.noteUnanswered(now, order.Worker)
-		x.fenceOff(order.Worker, order.Fence)
 		if e.confirmed {
 			return nil
 		}
