Let no submission replace a caller who waits if its own connection is closed

What callers saw: 504 for a job that was running, and its tasks stopped.

Cause: a gateway that is short of processor time may read two submissions of a job in the wrong order. The later read one replaced the other although its caller had left, and the job was ended when that was noticed.

Change: before a submission is accepted, the gateway asks the kernel whether its connection is still open.

--- a/internal/gateway/runner/jobs.go
+++ b/internal/gateway/runner/jobs.go
@@ -72,6 +72,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counters.jobs.Inc()
+	if !c.connected() {
+		// The caller may have submitted the job again, and must not be replaced by one who has left.
+		r.counters.closedUnread.Inc()
+		r.log.Info("job_refused", zap.String("job", string(job.ID)), zap.String("cause", coordinator.CauseConnectionClosed))
+		c.answer <- coordinator.Answer{State: coordinator.Unfinished}
+		return
+	}
 	if previous := r.callers[job.ID]; previous != nil {
 		previous.answer <- coordinator.Answer{State: coordinator.Unfinished}
 	}
