Send no start for 50 ms to an agent that refuses one for want of a permit

What callers saw: nothing. A gateway and a sidecar that withholds the lease sent a start and its refusal to and fro every 2 ms, for as long as its worker left a stop unanswered, which takes processor time from both.

Cause: a refusal for want of a permit changes nothing that the gateway knows of the sidecar, so it sends the task there again at once if no other has room.

Change: such a refusal keeps starts from the sidecar for 50 ms.

--- a/internal/transient/coordinator/agents.go
+++ b/internal/transient/coordinator/agents.go
@@ -35,6 +35,9 @@
 	slowdown slowdown
 	// crashedAt is when the worker last crashed, and backAt when it was available again.
 	crashedAt, backAt time.Time
+	// withheldUntil is until when the agent gets no start, because it has refused one for want of a
+	// permit. It does so while it withholds the lease of its worker, and does not tell when that ends.
+	withheldUntil time.Time
 	// sentBacklog is the backlog that was last sent to the agent.
 	sentBacklog executor.Backlog
 	// staleUntil is set while runs that were sent to an earlier incarnation of the agent
@@ -43,6 +46,9 @@
 	staleUntil time.Time
 }
 
+// withheldPause is how long an agent gets no start after it has refused one for want of a permit.
+const withheldPause = 50 * time.Millisecond
+
 // AgentLinked records a new link from an agent. The agent gets no work before its Attach
 // message.
 func (c *Coordinator) AgentLinked(now time.Time, name identifier.Agent, incarnation identifier.Incarnation) {
@@ -216,6 +222,9 @@
 	t := &j.tasks[m.Run.Index]
 	delete(a.runs, m.Run)
 	a.used = a.used.Sub(j.Demand)
+	if m.Outcome == executor.Refused && m.Reason == executor.NoPermit {
+		a.withheldUntil = now.Add(withheldPause)
+	}
 	stopping := t.stopping
 	t.active, t.stopping = false, false
 	if m.Outcome == executor.Done {
--- a/internal/transient/coordinator/placement.go
+++ b/internal/transient/coordinator/placement.go
@@ -226,7 +226,7 @@
 
 // admits reports whether a task of the job can be sent to the agent now.
 func (a *agent) admits(now time.Time, j *job) bool {
-	return a.attached && !a.released && a.lastRequest > 0 && a.status.Available && !a.status.Stalled && a.serves(j) && a.health.admits(now, len(a.runs)) && j.Demand.FitsIn(a.freeCapacity())
+	return a.attached && !a.released && !now.Before(a.withheldUntil) && a.lastRequest > 0 && a.status.Available && !a.status.Stalled && a.serves(j) && a.health.admits(now, len(a.runs)) && j.Demand.FitsIn(a.freeCapacity())
 }
 
 // serves reports whether the agent's worker has the service and the label that the job asks
