--- a/internal/transient/simulator/caller_test.go
+++ b/internal/transient/simulator/caller_test.go
@@ -19,6 +19,9 @@
 	// notRun is the number of submissions that were answered NotRun.
 	notRun int
 	state  coordinator.State
+	// sentAt is when each submission was sent, and closedAt when the close of its connection arrived
+	// at the gateway's machine, if it did.
+	sentAt, closedAt []time.Time
 	// patience is how long the caller waits for an answer, or zero if it waits for its budget.
 	patience time.Duration
 	// gateway is the one that gets the first submission, or nil for a random one.
@@ -41,6 +44,8 @@
 	ended      bool
 	// closed is set once the close of the connection has arrived at the gateway's machine.
 	closed bool
+	// number counts the submissions of the caller.
+	number int
 }
 
 // submit adds a caller, who submits job number n at once.
@@ -67,11 +72,12 @@
 		return
 	}
 	c.submissions++
+	c.sentAt, c.closedAt = append(c.sentAt, c.sim.now), append(c.closedAt, time.Time{})
 	g := c.gateway
 	if g == nil || c.submissions > 1 {
 		g = c.sim.gateways[c.sim.random.IntN(len(c.sim.gateways))]
 	}
-	sub := &submission{caller: c, gateway: g, generation: g.generation}
+	sub := &submission{caller: c, gateway: g, generation: g.generation, number: len(c.sentAt) - 1}
 	if !g.up || g.isolated {
 		sub.unanswered()
 		return
@@ -97,7 +103,10 @@
 		return
 	}
 	if sub.gateway.generation == sub.generation {
-		sub.caller.sim.after(time.Millisecond, func() { sub.closed = true })
+		sub.caller.sim.after(time.Millisecond, func() {
+			sub.closed = true
+			sub.caller.closedAt[sub.number] = sub.caller.sim.now
+		})
 		sub.gateway.schedule(time.Millisecond, sub, func() {
 			if sub.gateway.callers[sub.caller.job.ID] == sub {
 				delete(sub.gateway.callers, sub.caller.job.ID)
@@ -151,6 +160,33 @@
 	}
 }
 
+// checkOverrun checks the invariant that a run is over maxOverrun after the close of the connection
+// for which it was started has arrived at the gateway's machine. The number of a run is at least the
+// time of its start.
+func (s *simulation) checkOverrun(at *worker, run executor.RunID) {
+	started := time.UnixMicro(int64(run.Number))
+	for _, c := range s.callers {
+		if c.job.ID != run.Job {
+			continue
+		}
+		n := len(c.sentAt) - 1
+		for n > 0 && c.sentAt[n].After(started) {
+			n--
+		}
+		if closed := c.closedAt[n]; !closed.IsZero() {
+			s.longestOverrun = max(s.longestOverrun, s.now.Sub(closed))
+			if s.exactLeases && s.now.Sub(closed) > maxOverrun {
+				s.violate("run %s at %s ends %s after its caller has left", run, at.id, s.now.Sub(closed))
+			}
+		}
+	}
+}
+
+// maxOverrun is how long a run may go on after the close of its caller's connection has arrived: 100 ms
+// until callers are checked, 600 ms for which a worker may leave the order to stop it unanswered, the
+// lease and its margin.
+const maxOverrun = 100*time.Millisecond + 600*time.Millisecond + executor.LeaseDuration + executor.ExpiryMargin
+
 // checkNotRun checks the invariant that no task of a job has run whose submissions were
 // all answered NotRun.
 func (s *simulation) checkNotRun() {
--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -56,12 +56,13 @@
 
 // testHistories simulates histories and reports those that violate an invariant.
 func testHistories(t *testing.T, histories int, simulate func(seed uint64) *simulation) {
-	starts, completed, notRun := 0, 0, 0
+	starts, completed, notRun, overrun := 0, 0, 0, time.Duration(0)
 	for seed := *firstSeed; seed < *firstSeed+uint64(histories); seed++ {
 		s := simulate(seed)
 		starts += s.starts
 		completed += s.completed
 		notRun += s.notRun
+		overrun = max(overrun, s.longestOverrun)
 		if len(s.violations) > 0 {
 			t.Errorf("seed %d: %s", seed, s.violations[0])
 			if histories == 1 {
@@ -71,7 +72,7 @@
 			}
 		}
 	}
-	t.Logf("%d histories: %d starts, %d jobs completed, %d answered not_run", histories, starts, completed, notRun)
+	t.Logf("%d histories: %d starts, %d jobs completed, %d answered not_run, runs end at most %s after their callers have left", histories, starts, completed, notRun, overrun)
 	assert.Assert(t, completed > histories, "too few jobs completed for the result to be meaningful")
 }
 
--- a/internal/transient/simulator/simulation_test.go
+++ b/internal/transient/simulator/simulation_test.go
@@ -58,6 +58,8 @@
 	starts, refused int
 	// wasted is the run time of runs that did not succeed.
 	wasted time.Duration
+	// longestOverrun is the longest time for which a run went on after its caller had left.
+	longestOverrun time.Duration
 	// crashed counts, for each task, the workers that it has crashed, and startsAfterCrashes its
 	// starts after the third.
 	crashed, startsAfterCrashes map[string]int
--- a/internal/transient/simulator/worker_test.go
+++ b/internal/transient/simulator/worker_test.go
@@ -324,6 +324,7 @@
 	if w.running[run] == nil {
 		return
 	}
+	w.sim.checkOverrun(w, run)
 	if outcome != executor.Done {
 		w.sim.wasted += w.sim.now.Sub(w.running[run].startedAt)
 	}
