--- a/internal/transient/coordinator/effects.go
+++ b/internal/transient/coordinator/effects.go
@@ -91,7 +91,7 @@
 )
 
 // CauseConnectionClosed is the cause of an answer that is given because the caller was found to have
-// closed its connection when a task was to be started. It goes to nobody.
+// closed its connection when a task was to be started or a permit granted. It goes to nobody.
 const CauseConnectionClosed = "connection_closed"
 
 // CauseDeadline is the cause of an answer that is given because the caller stops waiting.
