--- a/internal/bench/soaker/process.go
+++ b/internal/bench/soaker/process.go
@@ -151,7 +151,9 @@
 
 // starve lets the current incarnation run for a small part of the time, for a duration.
 func (p *process) starve(ctx context.Context, d time.Duration) {
-	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; {
+	ctx, stop := context.WithTimeout(ctx, d)
+	defer stop()
+	for ctx.Err() == nil {
 		p.pause(ctx, starveStop)
 		sleep(ctx, starveRun)
 	}
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -120,66 +120,6 @@
 	return !e.stopRequested.IsZero() && now.Sub(e.stopRequested) >= maxStopWait
 }
 
-// HandleStartOutcome handles the outcome of a call to start a run.
-func (x *Executor) HandleStartOutcome(now time.Time, order StartRun, outcome CallOutcome) []Effect {
-	e := x.runs[order.Run]
-	if outcome == Gone || outcome == Closed {
-		effects := x.handleWorkerExit(now, order.Worker, outcome)
-		// The order was not carried out, but the run may have ended with the worker already.
-		if e != nil && x.runs[order.Run] == e && !e.confirmed && e.worker.Equal(order.Worker) {
-			effects = append(effects, x.finish(now, order.Run, e, Refused, NoWorker)...)
-		}
-		return effects
-	}
-	if outcome == Silent {
-		// The call may extend the lease even if its run has ended meanwhile.
-		x.noteUnanswered(now, order.Worker)
-		x.fenceOff(order.Worker, order.Fence)
-	}
-	if e == nil || !e.worker.Equal(order.Worker) {
-		return nil
-	}
-	switch {
-	case outcome == Declined, outcome == StaleFence:
-		return x.finish(now, order.Run, e, Refused, Rejected)
-	case outcome == Silent:
-		if e.confirmed {
-			return nil
-		}
-		return x.stopRun(now, order.Run, e)
-	case e.phase == starting:
-		e.phase, e.since = running, now
-	case e.phase == uncertain:
-		e.phase, e.since = stopping, now
-	}
-	return nil
-}
-
-// HandleStopOutcome handles the outcome of a call to stop a run.
-func (x *Executor) HandleStopOutcome(now time.Time, order StopRun, outcome CallOutcome) []Effect {
-	e := x.runs[order.Run]
-	if e != nil {
-		e.stopInFlight = false
-	}
-	if outcome == Gone || outcome == Closed {
-		return x.handleWorkerExit(now, order.Worker, outcome)
-	}
-	if e == nil {
-		return nil
-	}
-	if outcome == Silent {
-		x.noteUnanswered(now, order.Worker)
-	}
-	if outcome != Accepted || x.worker == nil || !x.worker.WorkerIncarnation.Equal(order.Worker) {
-		return nil
-	}
-	e.stopAnswered = now
-	if e.phase == uncertain {
-		return []Effect{HoldNow{}}
-	}
-	return nil
-}
-
 // HandleHoldReply handles the reply to a Hold.
 func (x *Executor) HandleHoldReply(now time.Time, h Hold, reply HoldReply) []Effect {
 	w := x.worker
@@ -324,35 +264,6 @@
 	return nil
 }
 
-// fenceOff raises the fencing token after a call that extends the lease got no answer. The worker
-// may carry the call out seconds later and count the extension from then, when the lease is
-// meant to lapse. It refuses the call once it has seen the higher token.
-func (x *Executor) fenceOff(worker WorkerIncarnation, fence uint64) {
-	if w := x.worker; w != nil && w.WorkerIncarnation.Equal(worker) && w.fence == fence {
-		x.Fence++
-		w.fence = x.Fence
-	}
-}
-
-// initialFenceStep is the step by which a fencing token is raised after the first refusal.
-// The first token of an agent is its start time in milliseconds, and clocks are usually
-// set back by seconds.
-const initialFenceStep = 1 << 10
-
-// raiseFence raises the fencing token after a refusal, by a step that doubles with each
-// refusal. It does so only until the worker is fenced: a worker that refuses a token which it
-// has accepted before is controlled by another agent.
-func (x *Executor) raiseFence(h Hold) []Effect {
-	w := x.worker
-	if w == nil || !w.WorkerIncarnation.Equal(h.Worker) || w.fenced || w.fence != h.Fence {
-		return nil
-	}
-	x.fenceStep = max(initialFenceStep, 2*x.fenceStep)
-	x.Fence += x.fenceStep
-	w.fence = x.Fence
-	return []Effect{HoldNow{}}
-}
-
 // noteUnanswered records that a call to the worker got no answer, or that a hold failed.
 func (x *Executor) noteUnanswered(now time.Time, w WorkerIncarnation) {
 	if x.worker != nil && x.worker.WorkerIncarnation.Equal(w) {
--- a/internal/transient/simulator/caller_test.go
+++ b/internal/transient/simulator/caller_test.go
@@ -22,8 +22,8 @@
 	// sentAt is when each submission was sent, and closedAt when the close of its connection arrived
 	// at the gateway's machine, if it did.
 	sentAt, closedAt []time.Time
-	// patience is how long the caller waits for an answer, or zero if it waits for its budget.
-	patience time.Duration
+	// timeout is when the caller closes its connection, or zero for the budget of the job.
+	timeout time.Duration
 	// gateway is the one that gets the first submission, or nil for a random one.
 	gateway *gateway
 	// class, sent, objective and owed describe a job of a load pattern. A job that is not owed
@@ -44,13 +44,13 @@
 	ended      bool
 	// closed is set once the close of the connection has arrived at the gateway's machine.
 	closed bool
-	// number counts the submissions of the caller.
+	// number is the index among the submissions of the caller.
 	number int
 }
 
 // submit adds a caller, who submits job number n at once.
-func (s *simulation) submit(n, tasks int, budget, patience time.Duration, spec string) {
-	c := &caller{sim: s, patience: patience, job: specifier.Job{
+func (s *simulation) submit(n, tasks int, budget, timeout time.Duration, spec string) {
+	c := &caller{sim: s, timeout: timeout, job: specifier.Job{
 		ID:     specifier.JobID(fmt.Sprintf("job%03d", n)),
 		Queue:  specifier.Queue{Name: "q", Service: "counter", MaxAttempts: 9, Stretch: 1.6, BaseObjective: 60 * time.Millisecond},
 		Spec:   spec,
@@ -91,8 +91,8 @@
 		g.perform(g.coordinator.Submit(g.sim.now, c.job))
 	})
 	wait := c.job.Budget + 5*time.Millisecond
-	if c.patience > 0 {
-		wait = c.patience
+	if c.timeout > 0 {
+		wait = c.timeout
 	}
 	c.sim.after(wait, func() { sub.disconnect() })
 }
--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -85,7 +85,7 @@
 }
 
 // TestStarvedHistories simulates histories in which all processes are short of processor time at
-// times, workers lose half of the calls, and most callers leave early. It guards against decisions
+// times, workers lose half of the calls, and all callers disconnect early. It guards against decisions
 // that are older than the last wait before their effect. In every second history, workers take the
 // end of a lease as a time on their clock, as the platform states, and late calls may come at once.
 func TestStarvedHistories(t *testing.T) {
@@ -127,7 +127,7 @@
 			if crashing > 0 && n%crashing == 0 {
 				spec = crashingSpec
 			}
-			s.submit(n, 1+s.random.IntN(4), time.Duration(500+s.random.IntN(2500))*time.Millisecond, s.patience(), spec)
+			s.submit(n, 1+s.random.IntN(4), time.Duration(500+s.random.IntN(2500))*time.Millisecond, s.callerTimeout(), spec)
 		})
 	}
 	for at := time.Duration(0); at < historyLength; at += time.Duration(s.random.IntN(2500)) * time.Millisecond {
@@ -138,9 +138,9 @@
 	s.checkFailed()
 }
 
-// patience returns how long the next caller waits for an answer. A third of the callers leave early,
-// and all of them in starved histories.
-func (s *simulation) patience() time.Duration {
+// callerTimeout draws the timeout of a caller: in starved histories always, and otherwise for a third of
+// the callers, one that is shorter than the budget of the job.
+func (s *simulation) callerTimeout() time.Duration {
 	if s.starved {
 		return time.Duration(60+s.random.IntN(90)) * time.Millisecond
 	}
