--- a/internal/transient/simulator/caller_test.go
+++ b/internal/transient/simulator/caller_test.go
@@ -46,6 +46,11 @@
 	closed bool
 	// number is the index among the submissions of the caller.
 	number int
+	// path is what the network does to the connection. inTransit holds what the caller has sent and
+	// has not arrived, and nextArrival is when the next of it may arrive.
+	path        path
+	inTransit   []func()
+	nextArrival time.Time
 }
 
 // submit adds a caller, who submits job number n at once.
@@ -82,13 +87,10 @@
 		sub.unanswered()
 		return
 	}
-	c.sim.logf("caller sends %s to %s", c.job.ID, g.name)
-	g.schedule(time.Millisecond, sub, func() {
-		if previous := g.callers[c.job.ID]; previous != nil {
-			previous.answered(coordinator.Answer{State: coordinator.Unfinished})
-		}
-		g.callers[c.job.ID] = sub
-		g.perform(g.coordinator.Submit(g.sim.now, c.job))
+	sub.path = c.sim.drawPath()
+	c.sim.logf("caller sends %s to %s%s", c.job.ID, g.name, sub.path)
+	sub.sendToGateway(time.Millisecond+sub.path.requestDelay, func() {
+		g.deliver(sub.generation, sub, func() { g.accept(sub) })
 	})
 	wait := c.job.Budget + 5*time.Millisecond
 	if c.timeout > 0 {
@@ -102,16 +104,11 @@
 	if sub.ended {
 		return
 	}
-	if sub.gateway.generation == sub.generation {
-		sub.caller.sim.after(time.Millisecond, func() {
+	if sub.gateway.generation == sub.generation && !sub.path.cut {
+		sub.sendToGateway(time.Millisecond+sub.path.closeDelay, func() {
 			sub.closed = true
 			sub.caller.closedAt[sub.number] = sub.caller.sim.now
-		})
-		sub.gateway.schedule(time.Millisecond, sub, func() {
-			if sub.gateway.callers[sub.caller.job.ID] == sub {
-				delete(sub.gateway.callers, sub.caller.job.ID)
-				sub.gateway.perform(sub.gateway.coordinator.CallerLeft(sub.gateway.sim.now, sub.caller.job.ID))
-			}
+			sub.gateway.deliver(sub.generation, sub, func() { sub.gateway.callerLeft(sub) })
 		})
 	}
 	sub.unanswered()
@@ -124,11 +121,14 @@
 	}
 	sub.ended = true
 	sub.caller.sim.logf("caller of %s has no answer", sub.caller.job.ID)
-	sub.caller.sim.after(resubmitDelay, sub.caller.send)
+	sub.caller.sim.after(sub.caller.sim.resubmitAfter(), sub.caller.send)
 }
 
 // answered delivers an answer to the caller. After Unfinished it submits the job again.
 func (sub *submission) answered(a coordinator.Answer) {
+	if sub.path.cut {
+		return
+	}
 	sub.caller.sim.after(time.Millisecond, func() {
 		if sub.ended {
 			return
--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -115,8 +115,48 @@
 	return s
 }
 
+// TestLateCloseHistories simulates histories in which no process fails, and the network delays or drops
+// closes and requests of callers, half of whom leave early and submit their jobs again at any time, to
+// any of three gateways. It guards against runs of one job at two gateways.
+func TestLateCloseHistories(t *testing.T) {
+	testHistories(t, (*histories+14)/15, simulateLateCloses)
+}
+
+// simulateLateCloses simulates one history of TestLateCloseHistories.
+func simulateLateCloses(seed uint64) *simulation {
+	s := newSimulation(seed, 3, 3)
+	s.network = network{lateRequests: 0.1, lateCloses: 0.25, cuts: 0.03, hasty: true}
+	s.submitJobs(0)
+	s.finish()
+	return s
+}
+
+// TestLateCloseFaultHistories simulates histories in which all may fail that does in TestHistories,
+// the closes of callers arrive late as well, and callers submit their jobs again after resubmitDelay.
+func TestLateCloseFaultHistories(t *testing.T) {
+	testHistories(t, (*histories+14)/15, simulateLateClosesAndFaults)
+}
+
+// simulateLateClosesAndFaults simulates one history of TestLateCloseFaultHistories.
+func simulateLateClosesAndFaults(seed uint64) *simulation {
+	s := newSimulation(seed, 3, 3)
+	s.network = network{lateCloses: 0.25}
+	s.submitAndFail(0)
+	return s
+}
+
 // submitAndFail submits the jobs of a history and injects its faults.
 func (s *simulation) submitAndFail(crashing int) {
+	s.submitJobs(crashing)
+	for at := time.Duration(0); at < historyLength; at += time.Duration(s.random.IntN(2500)) * time.Millisecond {
+		s.after(at, s.injectFault)
+	}
+	s.finish()
+}
+
+// submitJobs starts to submit the jobs of a history. Each job crashes workers whose
+// number is a multiple of crashing, if that is not zero.
+func (s *simulation) submitJobs(crashing int) {
 	s.releases = true
 	s.run(200 * time.Millisecond)
 	n := 0
@@ -130,21 +170,26 @@
 			s.submit(n, 1+s.random.IntN(4), time.Duration(500+s.random.IntN(2500))*time.Millisecond, s.callerTimeout(), spec)
 		})
 	}
-	for at := time.Duration(0); at < historyLength; at += time.Duration(s.random.IntN(2500)) * time.Millisecond {
-		s.after(at, s.injectFault)
-	}
+}
+
+// finish runs a history to its end and checks the answers.
+func (s *simulation) finish() {
 	s.run(historyLength + 15*time.Second)
 	s.checkNotRun()
 	s.checkFailed()
 }
 
 // callerTimeout draws the timeout of a caller: in starved histories always, and otherwise for a third of
-// the callers, one that is shorter than the budget of the job.
+// the callers, or half of them where connections can be late, one that is shorter than the budget of the job.
 func (s *simulation) callerTimeout() time.Duration {
 	if s.starved {
 		return time.Duration(60+s.random.IntN(90)) * time.Millisecond
 	}
-	if s.random.IntN(3) > 0 {
+	leaving := 3
+	if s.network.late() {
+		leaving = 2
+	}
+	if s.random.IntN(leaving) > 0 {
 		return 0
 	}
 	return time.Duration(50+s.random.IntN(400)) * time.Millisecond
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -43,6 +43,28 @@
 	})
 }
 
+// accept handles the request of a submission.
+func (g *gateway) accept(sub *submission) {
+	if sub.closed && g.sim.network.late() {
+		// The caller may have submitted the job again, and must not be replaced by one who has left.
+		return
+	}
+	id := sub.caller.job.ID
+	if previous := g.callers[id]; previous != nil {
+		previous.answered(coordinator.Answer{State: coordinator.Unfinished})
+	}
+	g.callers[id] = sub
+	g.perform(g.coordinator.Submit(g.sim.now, sub.caller.job))
+}
+
+// callerLeft handles the close of a submission's connection.
+func (g *gateway) callerLeft(sub *submission) {
+	if id := sub.caller.job.ID; g.callers[id] == sub {
+		delete(g.callers, id)
+		g.perform(g.coordinator.CallerLeft(g.sim.now, id))
+	}
+}
+
 // Waits reports whether the caller of a job has not closed its connection.
 func (g *gateway) Waits(id specifier.JobID) bool {
 	return g.callers[id] != nil && !g.callers[id].closed
@@ -66,7 +88,7 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(g.callers)) {
-		if !powerLoss {
+		if !powerLoss && !g.callers[id].path.cut {
 			g.callers[id].unanswered()
 		}
 	}
--- a/internal/transient/simulator/simulation_test.go
+++ b/internal/transient/simulator/simulation_test.go
@@ -52,6 +52,8 @@
 	exactLeases bool
 	// releases is set if agents release links at random.
 	releases bool
+	// network is what the network does to the connections of callers.
+	network network
 	// messages counts the messages on all links.
 	messages int
 	// starts counts the runs that workers have started, refused those that agents refused.
