--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -126,6 +126,7 @@
 func simulateLateCloses(seed uint64) *simulation {
 	s := newSimulation(seed, 3, 3)
 	s.network = network{lateRequests: 0.1, lateCloses: 0.25, cuts: 0.03, hasty: true}
+	s.linkPeers(seed)
 	s.submitJobs(0)
 	s.finish()
 	return s
@@ -141,6 +142,7 @@
 func simulateLateClosesAndFaults(seed uint64) *simulation {
 	s := newSimulation(seed, 3, 3)
 	s.network = network{lateCloses: 0.25}
+	s.linkPeers(seed)
 	s.submitAndFail(0)
 	return s
 }
@@ -240,6 +242,9 @@
 		if l := a.links[g]; l != nil {
 			l.reset()
 		}
+		for _, p := range s.peers.of(g) {
+			p.reset()
+		}
 	case 10:
 		s.logf("fault link of %s and %s blackholed", a.name, g.name)
 		if l := a.links[g]; l != nil {
@@ -296,6 +301,11 @@
 				}
 			}
 		}
+		for _, p := range s.peers.pairs {
+			if p.connection != nil {
+				p.connection.resume()
+			}
+		}
 	})
 }
 
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -21,6 +21,8 @@
 	coordinator *coordinator.Coordinator
 	links       map[*agent]*link
 	callers     map[specifier.JobID]*submission
+	// peers holds the links to other gateways.
+	peers map[identifier.Entry]*peerConnection
 }
 
 // boot starts the gateway as a new incarnation that knows nothing of the earlier one.
@@ -32,6 +34,7 @@
 	g.coordinator = &coordinator.Coordinator{Callers: g}
 	g.links = make(map[*agent]*link)
 	g.callers = make(map[specifier.JobID]*submission)
+	g.peers = make(map[identifier.Entry]*peerConnection)
 	g.every(tickInterval, func() { g.perform(g.coordinator.Tick(g.sim.now)) })
 	g.every(silenceCheckInterval, func() {
 		for _, a := range g.sim.agents {
@@ -92,6 +95,9 @@
 			g.callers[id].unanswered()
 		}
 	}
+	for _, p := range g.sim.peers.of(g) {
+		p.killed(g, powerLoss)
+	}
 	g.sim.after(downtime, g.boot)
 }
 
--- a/internal/transient/simulator/simulation_test.go
+++ b/internal/transient/simulator/simulation_test.go
@@ -52,6 +52,8 @@
 	exactLeases bool
 	// releases is set if agents release links at random.
 	releases bool
+	// peers holds the links between gateways.
+	peers peers
 	// network is what the network does to the connections of callers.
 	network network
 	// messages counts the messages on all links.
