--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -58,6 +58,7 @@
 	}
 	g.callers[id] = sub
 	g.perform(g.coordinator.Submit(g.sim.now, sub.caller.job))
+	g.sim.accepted(g, id)
 }
 
 // callerLeft handles the close of a submission's connection.
@@ -332,6 +333,7 @@
 	case *executor.Permit:
 		a.executor.HandlePermit(now, name, m)
 	case *executor.Start:
+		a.sim.contest.ordered(l.gateway, a, m.Run)
 		a.perform(a.executor.HandleStart(now, name, m))
 	case *executor.Stop:
 		a.perform(a.executor.HandleStop(now, name, m))
--- a/internal/transient/simulator/simulation_test.go
+++ b/internal/transient/simulator/simulation_test.go
@@ -56,6 +56,8 @@
 	peers peers
 	// network is what the network does to the connections of callers.
 	network network
+	// contest records the jobs that are at two gateways.
+	contest contest
 	// messages counts the messages on all links.
 	messages int
 	// starts counts the runs that workers have started, refused those that agents refused.
--- a/internal/transient/simulator/worker_test.go
+++ b/internal/transient/simulator/worker_test.go
@@ -92,6 +92,7 @@
 	}
 	w.sim.logf("fault worker %s crashed silent=%t", w.id, silent)
 	for run := range w.running {
+		w.sim.contest.ended(w.sim.now, w.agent, run)
 		w.sim.lostWithWorker[taskOf(run)]++
 	}
 	for _, e := range w.ended {
@@ -266,6 +267,7 @@
 	w.running[s.Run] = &execution{w.sim.now, duration, w.hanging}
 	w.sim.starts++
 	w.sim.logf("worker %s starts %s", w.id, s.Run)
+	w.sim.contest.started(w.sim.now, w.agent, s.Run)
 	w.sim.checkSingleRun(w, s.Run)
 	w.extend(leaseEnd)
 	w.sim.checkCrashBudget(s.Run)
@@ -324,6 +326,7 @@
 	if w.running[run] == nil {
 		return
 	}
+	w.sim.contest.ended(w.sim.now, w.agent, run)
 	w.sim.checkOverrun(w, run)
 	if outcome != executor.Done {
 		w.sim.wasted += w.sim.now.Sub(w.running[run].startedAt)
