--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math"
 	"testing"
 	"time"
 
@@ -57,12 +58,18 @@
 // testHistories simulates histories and reports those that violate an invariant.
 func testHistories(t *testing.T, histories int, simulate func(seed uint64) *simulation) {
 	starts, completed, notRun, overrun := 0, 0, 0, time.Duration(0)
+	contested, handedOver, gap := 0, 0, time.Duration(math.MaxInt64)
 	for seed := *firstSeed; seed < *firstSeed+uint64(histories); seed++ {
 		s := simulate(seed)
 		starts += s.starts
 		completed += s.completed
 		notRun += s.notRun
 		overrun = max(overrun, s.longestOverrun)
+		contested += len(s.contest.jobs)
+		if s.contest.handedOver {
+			handedOver++
+			gap = min(gap, s.contest.gap)
+		}
 		if len(s.violations) > 0 {
 			t.Errorf("seed %d: %s", seed, s.violations[0])
 			if histories == 1 {
@@ -73,6 +80,7 @@
 		}
 	}
 	t.Logf("%d histories: %d starts, %d jobs completed, %d answered not_run, runs end at most %s after their callers have left", histories, starts, completed, notRun, overrun)
+	t.Logf("%d jobs were accepted by a gateway while another one worked on them; in %d histories a task ran under two gateways, and the second run started at the earliest %s after the end of the first", contested, handedOver, gap)
 	assert.Assert(t, completed > histories, "too few jobs completed for the result to be meaningful")
 }
 
@@ -126,6 +134,7 @@
 func simulateLateCloses(seed uint64) *simulation {
 	s := newSimulation(seed, 3, 3)
 	s.network = network{lateRequests: 0.1, lateCloses: 0.25, cuts: 0.03, hasty: true}
+	s.linkPeers(seed)
 	s.submitJobs(0)
 	s.finish()
 	return s
@@ -141,6 +150,7 @@
 func simulateLateClosesAndFaults(seed uint64) *simulation {
 	s := newSimulation(seed, 3, 3)
 	s.network = network{lateCloses: 0.25}
+	s.linkPeers(seed)
 	s.submitAndFail(0)
 	return s
 }
@@ -240,6 +250,9 @@
 		if l := a.links[g]; l != nil {
 			l.reset()
 		}
+		for _, p := range s.peers.of(g) {
+			p.reset()
+		}
 	case 10:
 		s.logf("fault link of %s and %s blackholed", a.name, g.name)
 		if l := a.links[g]; l != nil {
@@ -296,6 +309,11 @@
 				}
 			}
 		}
+		for _, p := range s.peers.pairs {
+			if p.connection != nil {
+				p.connection.resume()
+			}
+		}
 	})
 }
 
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -21,6 +21,8 @@
 	coordinator *coordinator.Coordinator
 	links       map[*agent]*link
 	callers     map[specifier.JobID]*submission
+	// peers holds the links to other gateways.
+	peers map[identifier.Entry]*peerConnection
 }
 
 // boot starts the gateway as a new incarnation that knows nothing of the earlier one.
@@ -32,6 +34,7 @@
 	g.coordinator = &coordinator.Coordinator{Callers: g}
 	g.links = make(map[*agent]*link)
 	g.callers = make(map[specifier.JobID]*submission)
+	g.peers = make(map[identifier.Entry]*peerConnection)
 	g.every(tickInterval, func() { g.perform(g.coordinator.Tick(g.sim.now)) })
 	g.every(silenceCheckInterval, func() {
 		for _, a := range g.sim.agents {
@@ -55,6 +58,7 @@
 	}
 	g.callers[id] = sub
 	g.perform(g.coordinator.Submit(g.sim.now, sub.caller.job))
+	g.sim.accepted(g, id)
 }
 
 // callerLeft handles the close of a submission's connection.
@@ -92,6 +96,9 @@
 			g.callers[id].unanswered()
 		}
 	}
+	for _, p := range g.sim.peers.of(g) {
+		p.killed(g, powerLoss)
+	}
 	g.sim.after(downtime, g.boot)
 }
 
@@ -326,6 +333,7 @@
 	case *executor.Permit:
 		a.executor.HandlePermit(now, name, m)
 	case *executor.Start:
+		a.sim.contest.ordered(l.gateway, a, m.Run)
 		a.perform(a.executor.HandleStart(now, name, m))
 	case *executor.Stop:
 		a.perform(a.executor.HandleStop(now, name, m))
