--- /dev/null
+++ b/internal/transient/arbiter/arbiter.go
@@ -0,0 +1,281 @@
+// Package arbiter decides which gateway may start the tasks of a job. Callers without an answer
+// submit a job again, to any gateway, and the first one may learn late that its caller has left.
+// Before its first start, each gateway claims the job at the gateway that the hash of the job's
+// identity names. That one, the arbiter of the job, grants the claim once the gateway that held
+// the job before has no runs of it.
+//
+// Claims are kept in memory only. Where one is lost with its arbiter, or the arbiter does not
+// answer in time, the bounds on the time for which a run can outlive its caller remain.
+package arbiter
+
+import (
+	"maps"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
+)
+
+// Process is one incarnation of a gateway.
+type Process struct {
+	Gateway     identifier.Entry
+	Incarnation identifier.Incarnation
+}
+
+// Arbiter holds the claims on the jobs of which its gateway is the arbiter. The zero value, with
+// Self set, is ready for use. An Arbiter is not safe for concurrent use.
+type Arbiter struct {
+	// Self is the gateway of this arbiter.
+	Self Process
+
+	peers map[identifier.Entry]*peer
+	// lost holds when the last link to a process ended, for RunsOverAfter.
+	lost    map[Process]time.Time
+	records map[specifier.JobID]*record
+	// swept is when expired records were last removed.
+	swept time.Time
+}
+
+// peer is a gateway that this one is linked to.
+type peer struct {
+	incarnation identifier.Incarnation
+	// links is the number of open links. Either side may have dialled.
+	links int
+	// unanswered is the number of claims in a row that the gateway has not answered in time. Until
+	// suspendedUntil it is no arbiter.
+	unanswered     int
+	suspendedUntil time.Time
+}
+
+const (
+	// maxUnanswered is the number of claims in a row after which a gateway that does not answer them
+	// is suspended, and suspension is for how long. It may be short of processor time or cut off,
+	// and the others notice that as well.
+	maxUnanswered = 3
+	suspension    = 2 * time.Second
+)
+
+// record is what is known of a job.
+type record struct {
+	holder claim
+	// next is the claim that is granted when the holder has no runs, if there is one.
+	next *claim
+}
+
+// claim is a claim on a job.
+type claim struct {
+	by      Process
+	number  uint64
+	expires time.Time
+}
+
+// Send is the effect of sending a message to a gateway, which may be that of the arbiter.
+type Send struct {
+	To      identifier.Entry
+	Message any
+}
+
+// PeerLinked records a link to another gateway.
+func (a *Arbiter) PeerLinked(now time.Time, p Process) {
+	if a.peers == nil {
+		a.peers = make(map[identifier.Entry]*peer)
+	}
+	known := a.peers[p.Gateway]
+	switch {
+	case known == nil:
+	case known.incarnation == p.Incarnation:
+		known.links++
+		return
+	case known.incarnation > p.Incarnation:
+		return
+	default:
+		a.noteLost(now, Process{p.Gateway, known.incarnation})
+	}
+	a.peers[p.Gateway] = &peer{incarnation: p.Incarnation, links: 1}
+	delete(a.lost, p)
+}
+
+// PeerUnlinked records the end of a link to another gateway.
+func (a *Arbiter) PeerUnlinked(now time.Time, p Process) {
+	known := a.peers[p.Gateway]
+	if known == nil || known.incarnation != p.Incarnation {
+		return
+	}
+	if known.links--; known.links == 0 {
+		delete(a.peers, p.Gateway)
+		a.noteLost(now, p)
+	}
+}
+
+// noteLost records when the last link to a process ended.
+func (a *Arbiter) noteLost(now time.Time, p Process) {
+	if a.lost == nil {
+		a.lost = make(map[Process]time.Time)
+	}
+	a.lost[p] = now
+}
+
+// ArbitersOf returns the gateways that have to grant a claim of this one on a job, in the order in
+// which they are to be asked: the first by rank of those that it is linked to, and before that this
+// gateway itself if it ranks higher, because it is then the arbiter for the others. They ask the
+// former if they have suspended this gateway. There are none if it is linked to no other.
+func (a *Arbiter) ArbitersOf(now time.Time, id specifier.JobID) []identifier.Entry {
+	best, bestRank := identifier.Entry(""), uint64(0)
+	for name, p := range a.peers {
+		if now.Before(p.suspendedUntil) {
+			continue
+		}
+		if r := rank(name, id); best == "" || r > bestRank || r == bestRank && name > best {
+			best, bestRank = name, r
+		}
+	}
+	switch {
+	case best == "":
+		return nil
+	case rank(a.Self.Gateway, id) > bestRank:
+		return []identifier.Entry{a.Self.Gateway, best}
+	}
+	return []identifier.Entry{best}
+}
+
+// Answered records that a gateway has answered a claim.
+func (a *Arbiter) Answered(gateway identifier.Entry) {
+	if p := a.peers[gateway]; p != nil {
+		p.unanswered = 0
+	}
+}
+
+// Unanswered records that a gateway has not answered a claim in time. It reports whether the gateway
+// is suspended for that.
+func (a *Arbiter) Unanswered(now time.Time, gateway identifier.Entry) bool {
+	p := a.peers[gateway]
+	if p == nil || now.Before(p.suspendedUntil) {
+		return false
+	}
+	if p.unanswered++; p.unanswered < maxUnanswered {
+		return false
+	}
+	p.unanswered, p.suspendedUntil = 0, now.Add(suspension)
+	return true
+}
+
+// rank orders the gateways for a job. The order of two gateways does not depend on the others, so
+// that a gateway that joins or leaves changes the arbiters of few jobs.
+func rank(gateway identifier.Entry, id specifier.JobID) uint64 {
+	return xxhash.Sum64String(string(gateway) + " " + string(id))
+}
+
+// HandleClaim handles the claim of a gateway. Of several, the latest counts: its caller is the one
+// that waits.
+func (a *Arbiter) HandleClaim(now time.Time, from Process, m *Claim) []Send {
+	if a.records == nil {
+		a.records = make(map[specifier.JobID]*record)
+	}
+	c := claim{from, m.Number, now.Add(m.Validity)}
+	r := a.records[m.Job]
+	switch {
+	case r == nil || r.expired(now):
+		a.records[m.Job] = &record{holder: c}
+		return []Send{grant(m.Job, &c)}
+	case r.holder.by == from:
+		var effects []Send
+		if r.next != nil && r.holder.number != m.Number {
+			effects = append(effects, recall(m.Job, r.next))
+			r.next = nil
+		}
+		r.holder = c
+		return append(effects, grant(m.Job, &c))
+	case m.Renewal:
+		return []Send{recall(m.Job, &c)}
+	}
+	var effects []Send
+	if r.next != nil && r.next.by != from {
+		effects = append(effects, recall(m.Job, r.next))
+	}
+	r.next = &c
+	return append(effects, a.settle(now, m.Job, r)...)
+}
+
+// settle grants the next claim of a job if the holder cannot have runs any more, and recalls the
+// holder otherwise.
+func (a *Arbiter) settle(now time.Time, id specifier.JobID, r *record) []Send {
+	if a.linked(r.holder.by) {
+		return []Send{recall(id, &r.holder), {r.next.by.Gateway, &Contested{Job: id, Number: r.next.number}}}
+	}
+	if now.Sub(a.lost[r.holder.by]) < executor.RunsOverAfter {
+		return []Send{{r.next.by.Gateway, &Contested{Job: id, Number: r.next.number}}}
+	}
+	return a.promote(id, r)
+}
+
+// promote grants the next claim of a job.
+func (a *Arbiter) promote(id specifier.JobID, r *record) []Send {
+	r.holder, r.next = *r.next, nil
+	return []Send{grant(id, &r.holder)}
+}
+
+// HandleYield handles that a gateway has no runs of a job.
+func (a *Arbiter) HandleYield(from Process, m *Yield) []Send {
+	r := a.records[m.Job]
+	switch {
+	case r == nil:
+	case r.holder.by == from && r.holder.number == m.Number:
+		if r.next != nil {
+			return a.promote(m.Job, r)
+		}
+		delete(a.records, m.Job)
+	case r.next != nil && r.next.by == from && r.next.number == m.Number:
+		r.next = nil
+	}
+	return nil
+}
+
+// linked reports whether a process is this gateway or linked to it.
+func (a *Arbiter) linked(p Process) bool {
+	if p == a.Self {
+		return true
+	}
+	known := a.peers[p.Gateway]
+	return known != nil && known.incarnation == p.Incarnation
+}
+
+// expired reports whether no claim on the job is valid any more.
+func (r *record) expired(now time.Time) bool {
+	return !now.Before(r.holder.expires) && (r.next == nil || !now.Before(r.next.expires))
+}
+
+// sweepInterval is the time between two removals of expired records.
+const sweepInterval = time.Second
+
+// Tick removes what has expired, and reports whether a gateway is no longer suspended.
+func (a *Arbiter) Tick(now time.Time) bool {
+	resumed := false
+	for _, p := range a.peers {
+		if !p.suspendedUntil.IsZero() && !now.Before(p.suspendedUntil) {
+			p.suspendedUntil, resumed = time.Time{}, true
+		}
+	}
+	if now.Sub(a.swept) < sweepInterval {
+		return resumed
+	}
+	a.swept = now
+	maps.DeleteFunc(a.records, func(_ specifier.JobID, r *record) bool { return r.expired(now) })
+	maps.DeleteFunc(a.lost, func(_ Process, at time.Time) bool { return now.Sub(at) >= executor.RunsOverAfter })
+	return resumed
+}
+
+// Claims returns the number of jobs with a claim.
+func (a *Arbiter) Claims() int {
+	return len(a.records)
+}
+
+func grant(id specifier.JobID, c *claim) Send {
+	return Send{c.by.Gateway, &Grant{Job: id, Number: c.number}}
+}
+
+func recall(id specifier.JobID, c *claim) Send {
+	return Send{c.by.Gateway, &Recall{Job: id, Number: c.number}}
+}
--- /dev/null
+++ b/internal/transient/arbiter/messages.go
@@ -0,0 +1,57 @@
+package arbiter
+
+import (
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
+)
+
+// Claim asks the arbiter of a job for the right to start its tasks. It is answered with a Grant,
+// or with a Contested and a Grant later. A claim that is sent again has the same number.
+type Claim struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Job specifier.JobID
+	// Number numbers the claims of one incarnation of a gateway.
+	Number uint64
+	// Validity is how long the job can have runs at the claimant, from when the claim is sent.
+	Validity time.Duration
+	// Renewal is set if the claimant may have started tasks already, with the consent of an earlier
+	// arbiter or because that one did not answer.
+	Renewal bool
+}
+
+// Grant allows the claimant to start the tasks of a job: no other gateway has runs of it that the
+// arbiter knows of.
+type Grant struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Job    specifier.JobID
+	Number uint64
+}
+
+// Contested tells the claimant of a job that another gateway may have runs of it. A Grant follows
+// when these have ended.
+type Contested struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Job    specifier.JobID
+	Number uint64
+}
+
+// Recall tells a gateway that its claim is void, because the job was submitted to another one
+// later. It ends the job and answers with a Yield.
+type Recall struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Job    specifier.JobID
+	Number uint64
+}
+
+// Yield tells the arbiter that the gateway has no runs of the job, and starts none under the claim.
+type Yield struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Job    specifier.JobID
+	Number uint64
+}
