--- a/internal/gateway/runner/endpoints.go
+++ b/internal/gateway/runner/endpoints.go
@@ -19,8 +19,10 @@
 	heldInVain *metrics.Counter
 	// closedUnread counts the jobs of which no further task was started because their callers had
 	// closed the connection, before this process had read that.
-	closedUnread  *metrics.Counter
-	answerSeconds *metrics.Histogram
+	closedUnread *metrics.Counter
+	// claimsGranted and claimsRecalled count the decisions of this gateway on claims.
+	claimsGranted, claimsRecalled *metrics.Counter
+	answerSeconds                 *metrics.Histogram
 	// events counts the logged events by their names.
 	events map[string]*metrics.Counter
 }
@@ -49,11 +51,17 @@
 
 		closedUnread: count("jobs_closed_unread_total"),
 
+		claimsGranted:  count("claims_granted_total"),
+		claimsRecalled: count("claims_recalled_total"),
+
 		events: map[string]*metrics.Counter{
 			coordinator.EventRunLost:        count("runs_lost_total"),
 			coordinator.EventWorkerStalled:  count("workers_stalled_total"),
 			coordinator.EventRefusedInError: count("jobs_refused_in_error_total"),
 			coordinator.EventTaskBlamed:     count("tasks_blamed_total"),
+
+			coordinator.EventClaimContested:  count("claims_contested_total"),
+			coordinator.EventClaimUnanswered: count("claims_unanswered_total"),
 		},
 		answerSeconds: set.NewHistogram("dandeliongrade_gateway_answer_seconds"),
 	}
@@ -82,6 +90,11 @@
 		defer r.mu.Unlock()
 		return float64(r.coordinator.OpenJobs())
 	})
+	r.counters.set.NewGauge("dandeliongrade_gateway_claims", func() float64 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return float64(r.arbiter.Claims())
+	})
 	r.counters.set.NewGauge("dandeliongrade_gateway_agents", func() float64 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/gateway/runner/links.go
+++ b/internal/gateway/runner/links.go
@@ -13,6 +13,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/member/registrar"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/selector"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/arbiter"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/quarantiner"
 )
@@ -31,7 +32,7 @@
 		r.serveAgent(ctx, link, hello)
 		return
 	}
-	r.servePeer(ctx, link, hello.Entry)
+	r.servePeer(ctx, peerLink{link, arbiter.Process{Gateway: hello.Entry, Incarnation: hello.Incarnation}})
 }
 
 // serveAgent handles the messages of an agent until its link ends. A new link of an
@@ -92,17 +93,18 @@
 
 // servePeer handles the messages of another gateway that dialled this one, until its
 // link ends.
-func (r *Runner) servePeer(ctx context.Context, link *connector.Link, name identifier.Entry) {
+func (r *Runner) servePeer(ctx context.Context, link peerLink) {
 	id := r.addPeer(link)
-	err := link.Run(ctx, func(message any) error { return r.handlePeerMessage(id, message) })
-	r.removePeer(id)
-	r.log.Info("gateway_lost", zap.String("gateway", string(name)), logger.Error(err))
+	err := link.Run(ctx, func(message any) error { return r.handlePeerMessage(id, link.process, message) })
+	r.removePeer(id, link.process)
+	r.log.Info("gateway_lost", zap.String("gateway", string(link.process.Gateway)), logger.Error(err))
 }
 
 // session dials another gateway and handles its messages until the link ends. It reports
 // whether the link was established.
 func (r *Runner) session(ctx context.Context, p registrar.Peer) bool {
-	link, welcome, err := connector.Dial(ctx, r.deps.Dial, p.Link, r.settings.Timing, registrar.Hello{Entry: r.settings.Name})
+	hello := registrar.Hello{Entry: r.settings.Name, Incarnation: r.incarnation}
+	conn, welcome, err := connector.Dial(ctx, r.deps.Dial, p.Link, r.settings.Timing, hello)
 	if err != nil {
 		if ctx.Err() == nil {
 			r.linker.DialFailed(p.Link)
@@ -112,28 +114,32 @@
 	r.log.Info("gateway_linked", zap.String("gateway", string(welcome.Entry)))
 	r.linker.Linked(p.Link)
 	defer r.linker.Unlinked(p.Link)
+	link := peerLink{conn, arbiter.Process{Gateway: welcome.Entry, Incarnation: welcome.Incarnation}}
 	id := r.addPeer(link)
-	err = link.Run(ctx, func(message any) error { return r.handlePeerMessage(id, message) })
-	r.removePeer(id)
+	err = link.Run(ctx, func(message any) error { return r.handlePeerMessage(id, link.process, message) })
+	r.removePeer(id, link.process)
 	r.log.Info("gateway_lost", zap.String("gateway", string(welcome.Entry)), logger.Error(err))
 	return true
 }
 
 // addPeer registers a link with another gateway for updates, and sends the current
 // directory on it and which manifest this gateway has.
-func (r *Runner) addPeer(link *connector.Link) distributor.LinkID {
+func (r *Runner) addPeer(link peerLink) distributor.LinkID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastPeer++
 	id := r.lastPeer
 	r.peerLinks[id] = link
-	r.send(link, &selector.Directory{Gateways: r.linker.Known()})
+	r.send(link.Link, &selector.Directory{Gateways: r.linker.Known()})
 	r.distribute(r.distributor.LinkOpened(id))
+	now := r.clock()
 	if !r.linker.FullMesh() {
-		for _, report := range r.coordinator.CrashReports(r.clock()) {
-			r.send(link, &report)
+		for _, report := range r.coordinator.CrashReports(now) {
+			r.send(link.Link, &report)
 		}
 	}
+	r.arbiter.PeerLinked(now, link.process)
+	r.perform(r.coordinator.ArbitersChanged(now))
 	return id
 }
 
@@ -144,21 +150,24 @@
 		return
 	}
 	for _, link := range r.peerLinks {
-		r.send(link, report)
+		r.send(link.Link, report)
 	}
 }
 
 // removePeer removes a link that has ended.
-func (r *Runner) removePeer(id distributor.LinkID) {
+func (r *Runner) removePeer(id distributor.LinkID, process arbiter.Process) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.peerLinks, id)
 	r.counters.peerLinksLost.Inc()
-	r.distribute(r.distributor.LinkClosed(r.clock(), id))
+	now := r.clock()
+	r.distribute(r.distributor.LinkClosed(now, id))
+	r.arbiter.PeerUnlinked(now, process)
+	r.perform(r.coordinator.ArbitersChanged(now))
 }
 
 // handlePeerMessage handles one message of another gateway.
-func (r *Runner) handlePeerMessage(id distributor.LinkID, message any) error {
+func (r *Runner) handlePeerMessage(id distributor.LinkID, from arbiter.Process, message any) error {
 	r.counters.messagesReceived.Inc()
 	switch m := message.(type) {
 	case *registrar.Heartbeat:
@@ -180,7 +189,11 @@
 		defer r.mu.Unlock()
 		r.distribute(r.distributor.HandleRequest(r.clock(), id, m))
 	default:
-		return &connector.UnexpectedMessageError{Message: message}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !r.handleClaimMessage(r.clock(), from, message) {
+			return &connector.UnexpectedMessageError{Message: message}
+		}
 	}
 	return nil
 }
@@ -200,7 +213,7 @@
 		r.send(link, directory)
 	}
 	for _, link := range r.peerLinks {
-		r.send(link, directory)
+		r.send(link.Link, directory)
 	}
 }
 
@@ -229,12 +242,12 @@
 			if m, ok := e.Message.(*distributor.Request); ok {
 				r.log.Info("manifest_requested", zap.Uint64("have", m.Have))
 			}
-			r.send(r.peerLinks[e.To], e.Message)
+			r.send(r.peerLinks[e.To].Link, e.Message)
 		case distributor.SendManifest:
 			m := r.router.Manifest()
 			r.counters.manifestsSent.Inc()
 			r.log.Info("manifest_sent", zap.Uint64("version", m.Version))
-			r.send(r.peerLinks[e.To], &m)
+			r.send(r.peerLinks[e.To].Link, &m)
 		}
 	}
 }
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -21,6 +21,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/member/linker"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/selector"
 	"github.com/dandeliongrade/dandeliongrade/internal/report/logger"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/arbiter"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/coordinator"
 )
 
@@ -64,10 +65,11 @@
 	coordinator coordinator.Coordinator
 	router      router.Router
 	distributor distributor.Distributor
+	arbiter     arbiter.Arbiter
 	// agentLinks holds the links that agents dialled, one for each agent, and peerLinks
 	// the links with other gateways, whichever side dialled.
 	agentLinks map[identifier.Agent]*connector.Link
-	peerLinks  map[distributor.LinkID]*connector.Link
+	peerLinks  map[distributor.LinkID]peerLink
 	// lastPeer is the highest key of peerLinks so far.
 	lastPeer distributor.LinkID
 	// callers holds, for each job, the caller that waits for its answer.
@@ -89,12 +91,13 @@
 		counters:      newCounters(),
 		linker:        linker.New(selector.Process{Name: string(settings.Name), DataCentre: settings.DataCentre}, settings.LinkAddr(), clock),
 		agentLinks:    make(map[identifier.Agent]*connector.Link),
-		peerLinks:     make(map[distributor.LinkID]*connector.Link),
+		peerLinks:     make(map[distributor.LinkID]peerLink),
 		callers:       make(callers),
 		firstManifest: make(chan struct{}),
 		idle:          make(chan struct{}, 1),
 	}
-	r.coordinator = coordinator.Coordinator{Zone: string(settings.DataCentre), Callers: r.callers}
+	r.coordinator = coordinator.Coordinator{Zone: string(settings.DataCentre), Callers: r.callers, Arbiters: arbiters{r}}
+	r.arbiter.Self = r.self()
 	r.linker.LearnSeeds(settings.SeedLinkAddrs()...)
 	r.lifecycle = drainer.New(func(s drainer.Stage) { log.Info("stage", zap.String("stage", string(s))) })
 	return r
@@ -141,6 +144,9 @@
 			now := r.clock()
 			r.perform(r.coordinator.Tick(now))
 			r.distribute(r.distributor.Tick(now))
+			if r.arbiter.Tick(now) {
+				r.perform(r.coordinator.ArbitersChanged(now))
+			}
 			r.mu.Unlock()
 			r.linker.Expire()
 		case <-ctx.Done():
@@ -156,12 +162,16 @@
 		switch e := e.(type) {
 		case coordinator.Send:
 			r.send(r.agentLinks[e.To], e.Message)
+		case coordinator.SendGateway:
+			r.sendGateway(r.clock(), e.To, e.Message)
 		case coordinator.CloseLink:
 			r.closeLink(&e)
 		case coordinator.PassOn:
 			r.passOn(e.Report)
 		case coordinator.Reply:
 			r.reply(&e)
+		case coordinator.ClaimEvent:
+			r.handleClaimEvent(r.clock(), &e)
 		case coordinator.LogEvent:
 			if c := r.counters.events[e.Name]; c != nil {
 				c.Inc()
@@ -190,7 +200,8 @@
 		r.counters.closedUnread.Inc()
 	}
 	r.log.Info("job_answered", zap.String("job", string(e.Job)), zap.Stringer("state", e.Answer.State), zap.String("cause", e.Cause),
-		zap.Duration("took", e.Took), zap.Duration("placed", e.PlacedAfter), zap.Int("starts", e.Starts), zap.Int("lost", e.Lost))
+		zap.Duration("took", e.Took), zap.Duration("placed", e.PlacedAfter),
+		zap.String("claim", e.Claim), zap.Duration("claimed", e.ClaimedAfter), zap.Int("starts", e.Starts), zap.Int("lost", e.Lost))
 	if c := r.callers[e.Job]; c != nil {
 		delete(r.callers, e.Job)
 		c.answer <- e.Answer
--- a/internal/link/encoder/encoder.go
+++ b/internal/link/encoder/encoder.go
@@ -20,6 +20,7 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/member/extender"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/registrar"
 	"github.com/dandeliongrade/dandeliongrade/internal/member/selector"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/arbiter"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/quarantiner"
 )
@@ -71,6 +72,11 @@
 	42: reflect.TypeFor[distributor.Request](),
 	43: reflect.TypeFor[executor.Crash](),
 	44: reflect.TypeFor[quarantiner.Report](),
+	45: reflect.TypeFor[arbiter.Claim](),
+	46: reflect.TypeFor[arbiter.Grant](),
+	47: reflect.TypeFor[arbiter.Contested](),
+	48: reflect.TypeFor[arbiter.Recall](),
+	49: reflect.TypeFor[arbiter.Yield](),
 }
 
 // typeCodes is the inverse of messageTypes.
--- a/internal/transient/coordinator/agents.go
+++ b/internal/transient/coordinator/agents.go
@@ -235,8 +235,7 @@
 		a.health.runEnded(now, m, j.expectedRun)
 	}
 	if j.ended {
-		c.removeFinished(j)
-		return nil
+		return c.removeFinished(now, j)
 	}
 	if m.Outcome == executor.Done {
 		return c.taskDone(now, j, t)
--- /dev/null
+++ b/internal/transient/coordinator/claims.go
@@ -0,0 +1,249 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/arbiter"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
+)
+
+// Arbiters names the gateways that decide which gateway may start the tasks of a job.
+type Arbiters interface {
+	// ArbitersOf returns the gateways that have to grant a claim on a job, in the order in which
+	// they are to be asked. Without any, its tasks are started without asking.
+	ArbitersOf(now time.Time, id specifier.JobID) []identifier.Entry
+}
+
+const (
+	// claimTimeout is how long a job waits for an arbiter to answer, before its tasks are started
+	// without it. Between data centres an answer takes a few milliseconds.
+	claimTimeout = 15 * time.Millisecond
+	// slowClaimTimeout replaces claimTimeout while this process is short of processor time, and the
+	// answer may have arrived. Such a process also learns late that callers have left.
+	slowClaimTimeout = 500 * time.Millisecond
+	// slowTick is a time between two ticks that shows that this process is short of processor time,
+	// and slowPeriod is for how long it counts as such after that.
+	slowTick   = 60 * time.Millisecond
+	slowPeriod = time.Second
+	// claimInterval is the time between two claims on a job that another gateway holds. The first
+	// one, or its answer, may have been lost with a link.
+	claimInterval = 100 * time.Millisecond
+	// claimMargin is how long runs may go on after the deadline of their job.
+	claimMargin = 2 * time.Second
+	// maxIdleClaim is how long a claim may outlast its job without a Yield, if the job was answered
+	// for good.
+	maxIdleClaim = 5 * time.Second
+)
+
+// claimState is the state of the claim of this gateway on a job.
+type claimState uint8
+
+const (
+	// unclaimed jobs have no arbiter.
+	unclaimed claimState = iota
+	// claimed jobs wait for an arbiter to answer.
+	claimed
+	// contested jobs wait until another gateway has ended its runs.
+	contested
+	// granted jobs may be started.
+	granted
+	// assumed jobs may be started because an arbiter has not answered.
+	assumed
+)
+
+var claimStates = [...]string{unclaimed: "none", claimed: "claimed", contested: "contested", granted: "granted", assumed: "assumed"}
+
+// String returns the name of s as it appears in logs.
+func (s claimState) String() string {
+	return claimStates[s]
+}
+
+// claim is the claim of this gateway on a job.
+type claim struct {
+	state  claimState
+	number uint64
+	// asked holds the arbiters that the claim was sent to, the latest last, and next those that are
+	// to be asked after that one has granted it.
+	asked, next []identifier.Entry
+	// sent is when the claim was last sent, and expires until when it is valid.
+	sent, expires time.Time
+	// settled is when the job was first allowed to start.
+	settled time.Time
+	// wasContested is set if an arbiter knew of another gateway with the job, and recalled if it has
+	// recalled the claim.
+	wasContested, recalled bool
+}
+
+// waits reports whether the tasks of the job may not be started yet.
+func (m *claim) waits() bool {
+	return m.state == claimed || m.state == contested
+}
+
+// arbiter returns the arbiter that was asked last.
+func (m *claim) arbiter() identifier.Entry {
+	if len(m.asked) == 0 {
+		return ""
+	}
+	return m.asked[len(m.asked)-1]
+}
+
+// claimJob claims a job at its first arbiter, if it has one. Its tasks are started when all arbiters
+// have granted the claim, or one has not answered in time.
+func (c *Coordinator) claimJob(now time.Time, j *job) []Effect {
+	if c.Arbiters == nil {
+		return nil
+	}
+	arbiters := c.Arbiters.ArbitersOf(now, j.ID)
+	if len(arbiters) == 0 {
+		return nil
+	}
+	// A number is not used again after a restart, as an answer to the earlier incarnation may be late.
+	c.lastClaim = max(c.lastClaim+1, uint64(now.UnixMicro()))
+	j.claim = claim{number: c.lastClaim, expires: j.deadline.Add(claimMargin)}
+	return []Effect{c.askFirst(now, j, arbiters)}
+}
+
+// askFirst sends the claim on a job that waits to the first of its arbiters.
+func (c *Coordinator) askFirst(now time.Time, j *job, arbiters []identifier.Entry) Effect {
+	j.claim.state, j.claim.next = claimed, arbiters[1:]
+	return c.sendClaim(now, j, arbiters[0])
+}
+
+// sendClaim sends the claim on a job to an arbiter.
+func (c *Coordinator) sendClaim(now time.Time, j *job, to identifier.Entry) Effect {
+	j.claim.sent = now
+	j.claim.asked = append(slices.DeleteFunc(j.claim.asked, func(a identifier.Entry) bool { return a == to }), to)
+	return SendGateway{to, &arbiter.Claim{Job: j.ID, Number: j.claim.number, Validity: j.claim.expires.Sub(now), Renewal: !j.claim.waits()}}
+}
+
+// claimedJob returns the open job with a claim, or nil if there is none.
+func (c *Coordinator) claimedJob(id specifier.JobID, number uint64) *job {
+	if j := c.jobs[id]; j != nil && !j.ended && j.claim.number == number {
+		return j
+	}
+	return nil
+}
+
+// HandleGrant asks the next arbiter of a job, or starts its tasks after the last one.
+func (c *Coordinator) HandleGrant(now time.Time, from identifier.Entry, m *arbiter.Grant) []Effect {
+	j := c.claimedJob(m.Job, m.Number)
+	switch {
+	case j == nil || !j.claim.waits() || j.claim.arbiter() != from:
+		return nil
+	case len(j.claim.next) > 0:
+		return []Effect{c.askFirst(now, j, j.claim.next)}
+	}
+	c.settleClaim(now, j, granted)
+	return c.place(now)
+}
+
+// settleClaim allows a job to be started.
+func (c *Coordinator) settleClaim(now time.Time, j *job, s claimState) {
+	j.claim.state, j.claim.settled = s, now
+	c.enqueue(j)
+}
+
+// HandleContested records that another gateway may have runs of a job.
+func (c *Coordinator) HandleContested(from identifier.Entry, m *arbiter.Contested) []Effect {
+	j := c.claimedJob(m.Job, m.Number)
+	if j == nil {
+		return nil
+	}
+	if j.claim.state == claimed && j.claim.arbiter() == from {
+		j.claim.state = contested
+	}
+	if j.claim.wasContested {
+		return nil
+	}
+	j.claim.wasContested = true
+	return []Effect{ClaimEvent{Name: EventClaimContested, Job: m.Job, Arbiter: from, State: j.claim.state.String()}}
+}
+
+// HandleRecall ends a job that was submitted to another gateway later, and sends a Yield when it
+// has no runs.
+func (c *Coordinator) HandleRecall(now time.Time, from identifier.Entry, m *arbiter.Recall) []Effect {
+	j := c.jobs[m.Job]
+	if j == nil || j.claim.number != m.Number {
+		return []Effect{SendGateway{from, &arbiter.Yield{Job: m.Job, Number: m.Number}}}
+	}
+	j.claim.recalled = true
+	if j.ended {
+		return nil
+	}
+	j.claim.wasContested = true
+	return append(c.end(now, j, Answer{State: Unfinished}, CauseRecalled), c.place(now)...)
+}
+
+// ArbitersChanged claims the open jobs that have other arbiters now, who do not know of them.
+func (c *Coordinator) ArbitersChanged(now time.Time) []Effect {
+	var effects []Effect
+	for _, j := range c.sortedJobs() {
+		if j.ended || j.claim.state == unclaimed {
+			continue
+		}
+		arbiters := c.Arbiters.ArbitersOf(now, j.ID)
+		switch {
+		case len(arbiters) == 0:
+		case !j.claim.waits():
+			for _, name := range arbiters {
+				if !slices.Contains(j.claim.asked, name) {
+					effects = append(effects, c.sendClaim(now, j, name))
+				}
+			}
+		case !slices.Contains(arbiters, j.claim.arbiter()):
+			effects = append(effects, c.askFirst(now, j, arbiters))
+		}
+	}
+	return effects
+}
+
+// noteTick records whether this process is short of processor time.
+func (c *Coordinator) noteTick(now time.Time) {
+	if !c.lastTick.IsZero() && now.Sub(c.lastTick) >= slowTick {
+		c.slowUntil = now.Add(slowPeriod)
+	}
+}
+
+// claimWait returns how long a claim may be unanswered.
+func (c *Coordinator) claimWait(now time.Time) time.Duration {
+	if now.Before(c.slowUntil) {
+		return slowClaimTimeout
+	}
+	return claimTimeout
+}
+
+// tickClaim handles a claim that is not granted in time.
+func (c *Coordinator) tickClaim(now time.Time, j *job) []Effect {
+	waited := now.Sub(j.claim.sent)
+	switch {
+	case j.claim.state == claimed && waited >= c.claimWait(now):
+		c.settleClaim(now, j, assumed)
+		return []Effect{ClaimEvent{Name: EventClaimUnanswered, Job: j.ID, Arbiter: j.claim.arbiter(), State: j.claim.state.String()}}
+	case j.claim.state == contested && waited >= claimInterval:
+		arbiters := c.Arbiters.ArbitersOf(now, j.ID)
+		switch {
+		case slices.Contains(arbiters, j.claim.arbiter()):
+			return []Effect{c.sendClaim(now, j, j.claim.arbiter())}
+		case len(arbiters) > 0:
+			return []Effect{c.askFirst(now, j, arbiters)}
+		}
+		c.settleClaim(now, j, assumed)
+	}
+	return nil
+}
+
+// yield tells the arbiters that no runs of an ended job are left, so that the next gateway need not
+// wait. A caller with a final answer does not come again; its claim expires by itself.
+func (c *Coordinator) yield(now time.Time, j *job) []Effect {
+	final := j.outcome == Completed || j.outcome == Failed
+	if final && !j.claim.recalled && j.claim.expires.Sub(now) < maxIdleClaim {
+		return nil
+	}
+	var effects []Effect
+	for _, name := range j.claim.asked {
+		effects = append(effects, SendGateway{name, &arbiter.Yield{Job: j.ID, Number: j.claim.number}})
+	}
+	return effects
+}
--- a/internal/transient/coordinator/coordinator.go
+++ b/internal/transient/coordinator/coordinator.go
@@ -25,6 +25,9 @@
 	// Callers is asked before tasks are started and permits granted, because CallerLeft may come
 	// late. If it is nil, all callers wait.
 	Callers Callers
+	// Arbiters names the gateways to ask before the tasks of a job are started. If it is nil, there
+	// are none.
+	Arbiters Arbiters
 
 	jobs   map[specifier.JobID]*job
 	agents map[identifier.Agent]*agent
@@ -45,10 +48,12 @@
 	quarantine quarantiner.Quarantiner
 	lanes      lanes
 	downtime   time.Duration
-	// lastNumber is the number of the last run.
-	lastNumber uint64
+	// lastNumber is the number of the last run, and lastClaim that of the last claim.
+	lastNumber, lastClaim uint64
 	// lastTick is the time of the last Tick. No task is started before resumeAt.
 	lastTick, resumeAt time.Time
+	// slowUntil is until when this process counts as short of processor time.
+	slowUntil time.Time
 	// callersChecked is when checkCallers last asked for all callers.
 	callersChecked time.Time
 	// drainEnd is set once the gateway drains. A new job is accepted only if it is likely
@@ -79,6 +84,9 @@
 	started          bool
 	lastStart        time.Time
 	starts, lostRuns int
+	claim            claim
+	// outcome is the state in the answer of an ended job.
+	outcome State
 }
 
 type task struct {
@@ -131,6 +139,9 @@
 	}
 	admitted := c.admit(now, j)
 	c.jobs[j.ID] = admitted
+	if effects := c.claimJob(now, admitted); len(effects) > 0 {
+		return effects
+	}
 	c.enqueue(admitted)
 	return c.place(now)
 }
@@ -207,13 +218,20 @@
 
 // end answers a job and stops its active tasks.
 func (c *Coordinator) end(now time.Time, j *job, a Answer, cause string) []Effect {
-	j.ended = true
+	if a.State == NotRun && j.claim.wasContested {
+		// Another gateway may have started tasks of the job.
+		a = Answer{State: Unfinished}
+	}
+	j.ended, j.outcome = true, a.State
 	c.dequeue(j)
 	j.pending = nil
 	if a.State == Completed || a.State == Failed || a.State == Cancelled {
 		c.answers.add(now, j.ID, a)
 	}
-	reply := Reply{Job: j.ID, Answer: a, Cause: cause, Took: now.Sub(j.arrived), Starts: j.starts, Lost: j.lostRuns}
+	reply := Reply{Job: j.ID, Answer: a, Cause: cause, Took: now.Sub(j.arrived), Starts: j.starts, Lost: j.lostRuns, Claim: j.claim.state.String()}
+	if !j.claim.settled.IsZero() {
+		reply.ClaimedAfter = j.claim.settled.Sub(j.arrived)
+	}
 	if j.started {
 		reply.PlacedAfter = j.lastStart.Sub(j.arrived)
 	}
@@ -221,8 +239,7 @@
 	for i := range j.tasks {
 		effects = append(effects, c.stop(&j.tasks[i])...)
 	}
-	c.removeFinished(j)
-	return effects
+	return append(effects, c.removeFinished(now, j)...)
 }
 
 // stop asks the agent of an active task to stop it. An agent without a link is asked when
@@ -239,16 +256,17 @@
 }
 
 // removeFinished removes an ended job once none of its tasks is active.
-func (c *Coordinator) removeFinished(j *job) {
+func (c *Coordinator) removeFinished(now time.Time, j *job) []Effect {
 	if !j.ended {
-		return
+		return nil
 	}
 	for i := range j.tasks {
 		if j.tasks[i].active {
-			return
+			return nil
 		}
 	}
 	delete(c.jobs, j.ID)
+	return c.yield(now, j)
 }
 
 // Tick handles what depends on time alone: deadlines, pauses of this process, expired runs
@@ -256,6 +274,7 @@
 func (c *Coordinator) Tick(now time.Time) []Effect {
 	var effects []Effect
 	paused := c.paused(now)
+	c.noteTick(now)
 	c.lastTick = now
 	if paused {
 		c.resumeAt = now.Add(resumeDelay)
@@ -267,6 +286,8 @@
 			effects = append(effects, c.end(now, j, j.abandonedAnswer(), "gateway_paused")...)
 		case !now.Before(j.deadline):
 			effects = append(effects, c.end(now, j, j.abandonedAnswer(), CauseDeadline)...)
+		default:
+			effects = append(effects, c.tickClaim(now, j)...)
 		}
 	}
 	effects = append(effects, c.closeLinks(now)...)
--- a/internal/transient/coordinator/coordinator_test.go
+++ b/internal/transient/coordinator/coordinator_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/dandeliongrade/dandeliongrade/internal/bench/scripter"
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/arbiter"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/quarantiner"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
@@ -17,7 +18,7 @@
 func TestCoordinator(t *testing.T) {
 	scripter.Run(t, "testdata/*.txtar", func() scripter.Step {
 		d := &driver{runs: make(map[string]executor.RunID), queues: make(map[string]string), closed: make(closedCallers)}
-		d.c.Callers = d.closed
+		d.c.Callers, d.c.Arbiters = d.closed, d
 		return d.step
 	})
 }
@@ -33,6 +34,19 @@
 	closed closedCallers
 	// permitSequence is the sequence number of the last permit request.
 	permitSequence uint64
+	// arbiters holds the arbiters of all jobs.
+	arbiters []identifier.Entry
+}
+
+// ArbitersOf returns the arbiters of all jobs.
+func (d *driver) ArbitersOf(time.Time, specifier.JobID) []identifier.Entry {
+	return d.arbiters
+}
+
+// claimNumber returns the number of the claim that a script calls number: claims are numbered from 1 in
+// scripts, and by the time of day otherwise.
+func claimNumber(t *testing.T, word string) uint64 {
+	return uint64(scripter.Epoch.UnixMicro()) + uint64(scripter.Number(t, word)) - 1
 }
 
 // closedCallers holds the jobs whose callers have closed their connections.
@@ -43,6 +57,11 @@
 	return !c[id]
 }
 
+// claimIndex is the inverse of claimNumber.
+func claimIndex(number uint64) uint64 {
+	return number + 1 - uint64(scripter.Epoch.UnixMicro())
+}
+
 // step carries out one line and returns the effects. It understands these lines, in which
 // TASK is a job and an index, such as a#0:
 //
@@ -55,6 +74,8 @@
 //	status AGENT CPU [unavailable] [stalled]; load AGENT CPU; request_permit AGENT
 //	ended AGENT TASK OUTCOME [reason=R] [took=D]
 //	crash AGENT STARTED [TASK]...; report AGENT STARTED [TASK]...
+//	arbiters [GATEWAY]... (changes the arbiters of all jobs)
+//	grant GATEWAY JOB NUMBER; contested GATEWAY JOB NUMBER; recall GATEWAY JOB NUMBER
 func (d *driver) step(t *testing.T, now time.Time, words []string) string {
 	args, options := split(words[1:])
 	agent := identifier.Agent(args[0])
@@ -110,6 +131,18 @@
 			m.Took = scripter.Duration(t, took)
 		}
 		effects = d.c.HandleEnded(now, agent, m)
+	case "arbiters":
+		d.arbiters = nil
+		for _, w := range words[1:] {
+			d.arbiters = append(d.arbiters, identifier.Entry(w))
+		}
+		effects = d.c.ArbitersChanged(now)
+	case "grant":
+		effects = d.c.HandleGrant(now, identifier.Entry(args[0]), &arbiter.Grant{Job: specifier.JobID(args[1]), Number: claimNumber(t, args[2])})
+	case "contested":
+		effects = d.c.HandleContested(identifier.Entry(args[0]), &arbiter.Contested{Job: specifier.JobID(args[1]), Number: claimNumber(t, args[2])})
+	case "recall":
+		effects = d.c.HandleRecall(now, identifier.Entry(args[0]), &arbiter.Recall{Job: specifier.JobID(args[1]), Number: claimNumber(t, args[2])})
 	default:
 		t.Fatalf("unknown step %q", words[0])
 	}
@@ -129,6 +162,8 @@
 		switch e := e.(type) {
 		case Send:
 			fmt.Fprintf(&out, "%s: %s\n", e.To, d.formatMessage(e.Message))
+		case SendGateway:
+			fmt.Fprintf(&out, "%s: %s\n", e.To, formatClaim(e.Message))
 		case CloseLink:
 			fmt.Fprintf(&out, "%s: close link, %s\n", e.To, e.Cause)
 		case Reply:
@@ -137,6 +172,8 @@
 				fmt.Fprintf(&out, ", retry after %s", e.Answer.RetryAfter.Round(time.Millisecond))
 			}
 			out.WriteString("\n")
+		case ClaimEvent:
+			fmt.Fprintf(&out, "log %s %s: %s, %s\n", e.Name, e.Job, e.Arbiter, e.State)
 		case PassOn:
 			fmt.Fprintf(&out, "pass on the crash at %s\n", e.Report.Agent)
 		case LogEvent:
@@ -150,6 +187,17 @@
 	return out.String()
 }
 
+// formatClaim formats a message to a gateway.
+func formatClaim(message any) string {
+	switch m := message.(type) {
+	case *arbiter.Claim:
+		return fmt.Sprintf("claim %s %d for %s renewal=%t", m.Job, claimIndex(m.Number), m.Validity, m.Renewal)
+	case *arbiter.Yield:
+		return fmt.Sprintf("yield %s %d", m.Job, claimIndex(m.Number))
+	}
+	return fmt.Sprintf("%T", message)
+}
+
 // formatMessage formats a message to an agent, and records the run of a start.
 func (d *driver) formatMessage(message any) string {
 	switch m := message.(type) {
--- a/internal/transient/coordinator/effects.go
+++ b/internal/transient/coordinator/effects.go
@@ -48,7 +48,8 @@
 	RetryAfter time.Duration
 }
 
-// Effect is an action for the process to carry out: a Send, CloseLink, Reply, LogEvent or PassOn.
+// Effect is an action for the process to carry out: a Send, SendGateway, CloseLink, Reply, LogEvent,
+// ClaimEvent or PassOn.
 type Effect interface{ effect() }
 
 // Send sends a message to an agent.
@@ -57,6 +58,12 @@
 	Message any
 }
 
+// SendGateway sends a message to a gateway, which may be this one.
+type SendGateway struct {
+	To      identifier.Entry
+	Message any
+}
+
 // CloseLink closes the link to an agent.
 type CloseLink struct {
 	To identifier.Agent
@@ -74,6 +81,10 @@
 	Took time.Duration
 	// PlacedAfter is the time from the arrival of the job to its last start.
 	PlacedAfter time.Duration
+	// Claim is the state of the claim on the job, as it is logged, and ClaimedAfter the time from the
+	// arrival of the job until its tasks were allowed to start.
+	Claim        string
+	ClaimedAfter time.Duration
 	// Starts is the number of starts that were sent for the job. Lost is the number of
 	// runs that ended without success and were not stopped with the job.
 	Starts, Lost int
@@ -88,12 +99,20 @@
 	// confined until EventQueueReleased.
 	EventTaskBlamed    = "task_blamed"
 	EventQueueReleased = "queue_released"
+	// EventClaimContested names a job that another gateway may be running.
+	EventClaimContested = "claim_contested"
+	// EventClaimUnanswered names a job whose tasks are started without the answer of an arbiter.
+	EventClaimUnanswered = "claim_unanswered"
 )
 
 // CauseConnectionClosed is the cause of an answer that is given because the caller was found to have
 // closed its connection when a task was to be started or a permit granted. It goes to nobody.
 const CauseConnectionClosed = "connection_closed"
 
+// CauseRecalled is the cause of an answer that is given because the job was submitted to another gateway
+// later. Its caller has most likely left.
+const CauseRecalled = "submitted_elsewhere"
+
 // CauseDeadline is the cause of an answer that is given because the caller stops waiting.
 const CauseDeadline = "deadline"
 
@@ -116,13 +135,25 @@
 	SinceHeard time.Duration
 }
 
+// ClaimEvent is what has become of the claim on a job, to be logged.
+type ClaimEvent struct {
+	// Name is EventClaimContested or EventClaimUnanswered.
+	Name    string
+	Job     specifier.JobID
+	Arbiter identifier.Entry
+	// State is the state of the claim after that.
+	State string
+}
+
 // PassOn sends a report to all gateways that are linked, unless every agent is linked to all.
 type PassOn struct {
 	Report *quarantiner.Report
 }
 
-func (Send) effect()      {}
-func (CloseLink) effect() {}
-func (Reply) effect()     {}
-func (LogEvent) effect()  {}
-func (PassOn) effect()    {}
+func (Send) effect()        {}
+func (SendGateway) effect() {}
+func (CloseLink) effect()   {}
+func (Reply) effect()       {}
+func (LogEvent) effect()    {}
+func (ClaimEvent) effect()  {}
+func (PassOn) effect()      {}
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/arbiter"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/coordinator"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
@@ -21,8 +22,10 @@
 	coordinator *coordinator.Coordinator
 	links       map[*agent]*link
 	callers     map[specifier.JobID]*submission
-	// peers holds the links to other gateways.
-	peers map[identifier.Entry]*peerConnection
+	// peers holds the links to other gateways, and peerIncarnations the processes at their other ends.
+	peers            map[identifier.Entry]*peerConnection
+	peerIncarnations map[identifier.Entry]identifier.Incarnation
+	arbiter          *arbiter.Arbiter
 }
 
 // boot starts the gateway as a new incarnation that knows nothing of the earlier one.
@@ -31,11 +34,18 @@
 	g.up, g.frozen, g.deferred = true, false, nil
 	g.generation++
 	g.incarnation = identifier.NextIncarnation(g.sim.now, g.incarnation)
-	g.coordinator = &coordinator.Coordinator{Callers: g}
+	g.arbiter = &arbiter.Arbiter{Self: arbiter.Process{Gateway: g.name, Incarnation: g.incarnation}}
+	g.coordinator = &coordinator.Coordinator{Callers: g, Arbiters: g.arbiter}
 	g.links = make(map[*agent]*link)
 	g.callers = make(map[specifier.JobID]*submission)
 	g.peers = make(map[identifier.Entry]*peerConnection)
-	g.every(tickInterval, func() { g.perform(g.coordinator.Tick(g.sim.now)) })
+	g.peerIncarnations = make(map[identifier.Entry]identifier.Incarnation)
+	g.every(tickInterval, func() {
+		g.perform(g.coordinator.Tick(g.sim.now))
+		if g.arbiter.Tick(g.sim.now) {
+			g.perform(g.coordinator.ArbitersChanged(g.sim.now))
+		}
+	})
 	g.every(silenceCheckInterval, func() {
 		for _, a := range g.sim.agents {
 			l := g.links[a]
@@ -144,6 +154,13 @@
 					l.sendToAgent(e.Message)
 				}
 			}
+		case coordinator.SendGateway:
+			g.sendClaimMessage(e.To, e.Message)
+		case coordinator.ClaimEvent:
+			g.sim.logf("%s %s %s %s", g.name, e.Name, e.Job, e.Arbiter)
+			if e.Name == coordinator.EventClaimUnanswered && g.arbiter.Unanswered(g.sim.now, e.Arbiter) {
+				g.perform(g.coordinator.ArbitersChanged(g.sim.now))
+			}
 		case coordinator.CloseLink:
 			for _, a := range g.sim.agents {
 				if l := g.links[a]; l != nil && a.name == e.To {
--- a/internal/transient/simulator/peers_test.go
+++ b/internal/transient/simulator/peers_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/golden"
 
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
+	"github.com/dandeliongrade/dandeliongrade/internal/transient/arbiter"
 )
 
 // maxPeerDialInterval is the longest time between two attempts to link a pair of gateways, and between
@@ -249,18 +250,56 @@
 }
 
 // peerLinked handles a new link to another gateway.
-func (g *gateway) peerLinked(_ time.Time, name identifier.Entry, incarnation identifier.Incarnation) {
+func (g *gateway) peerLinked(now time.Time, name identifier.Entry, incarnation identifier.Incarnation) {
 	g.sim.logf("%s linked to peer %s %d", g.name, name, incarnation)
+	g.peerIncarnations[name] = incarnation
+	g.arbiter.PeerLinked(now, arbiter.Process{Gateway: name, Incarnation: incarnation})
+	g.perform(g.coordinator.ArbitersChanged(now))
 }
 
 // peerUnlinked handles the end of the link to another gateway.
 func (g *gateway) peerUnlinked(name identifier.Entry) {
 	g.sim.logf("%s unlinked from peer %s", g.name, name)
+	g.arbiter.PeerUnlinked(g.sim.now, arbiter.Process{Gateway: name, Incarnation: g.peerIncarnations[name]})
+	g.perform(g.coordinator.ArbitersChanged(g.sim.now))
 }
 
 // receivePeer handles a message of another gateway.
 func (g *gateway) receivePeer(from *gateway, message any) {
 	g.sim.logf("%s receives from peer %s %+v", g.name, from.name, message)
+	g.handleClaimMessage(arbiter.Process{Gateway: from.name, Incarnation: g.peerIncarnations[from.name]}, message)
+}
+
+// handleClaimMessage handles a message of another gateway, or of this one, about a claim.
+func (g *gateway) handleClaimMessage(from arbiter.Process, message any) {
+	now := g.sim.now
+	var decisions []arbiter.Send
+	switch m := message.(type) {
+	case *arbiter.Claim:
+		decisions = g.arbiter.HandleClaim(now, from, m)
+	case *arbiter.Yield:
+		decisions = g.arbiter.HandleYield(from, m)
+	case *arbiter.Grant:
+		g.arbiter.Answered(from.Gateway)
+		g.perform(g.coordinator.HandleGrant(now, from.Gateway, m))
+	case *arbiter.Contested:
+		g.arbiter.Answered(from.Gateway)
+		g.perform(g.coordinator.HandleContested(from.Gateway, m))
+	case *arbiter.Recall:
+		g.perform(g.coordinator.HandleRecall(now, from.Gateway, m))
+	}
+	for _, e := range decisions {
+		g.sendClaimMessage(e.To, e.Message)
+	}
+}
+
+// sendClaimMessage sends a message about a claim to a gateway, which may be this one.
+func (g *gateway) sendClaimMessage(to identifier.Entry, message any) {
+	if to == g.name {
+		g.handleClaimMessage(g.arbiter.Self, message)
+		return
+	}
+	g.sendToPeer(to, message)
 }
 
 // TestPeerLinks shows what gateways are told by each other and of their links when one of them is frozen,
