--- a/internal/sidecar/runner/orders.go
+++ b/internal/sidecar/runner/orders.go
@@ -18,8 +18,8 @@
 			r.send(&e)
 		case executor.CloseLink:
 			r.closeLink(e.To)
-		case executor.DeferEnd:
-			r.logEnd(e.To, &e.Ended)
+		case executor.RunEnded:
+			r.logEnd(&e)
 		case executor.StartRun:
 			r.counters.starts.Inc()
 			r.dispatch(func() { r.startRun(e) })
@@ -33,15 +33,19 @@
 		case executor.WorkerExited:
 			r.counters.workerExits.Inc()
 			r.log.Warn("worker_exited", zap.String("worker", e.Worker.Name), zap.Time("born", e.Worker.StartedAt), zap.Bool("announced", e.Announced), zap.Stringers("runs", e.Runs))
+		case executor.EndedRunListed:
+			r.counters.listedAfterEnd.Inc()
+			r.log.Warn("run_listed_after_end", zap.Stringer("run", e.Run), zap.String("worker", e.Worker.Name), zap.Time("born", e.Worker.StartedAt), zap.Bool("same_incarnation", e.SameIncarnation),
+				zap.Stringer("ground", e.Evidence.Ground), zap.Duration("evidence_age", e.Evidence.Age), zap.Duration("ended_before", e.Ago))
+		case executor.UnknownRunListed:
+			r.counters.listedUnknown.Inc()
+			r.log.Warn("unknown_run_listed", zap.Stringer("run", e.Run), zap.String("worker", e.Worker.Name), zap.Time("born", e.Worker.StartedAt))
 		}
 	}
 }
 
 // send sends a message to a gateway, if it is linked.
 func (r *Runner) send(e *executor.Send) {
-	if m, ok := e.Message.(*executor.Ended); ok {
-		r.logEnd(e.To, m)
-	}
 	link := r.links[e.To]
 	if link == nil {
 		return
@@ -61,13 +65,14 @@
 }
 
 // logEnd counts and logs the end of a run.
-func (r *Runner) logEnd(to identifier.Entry, m *executor.Ended) {
-	r.counters.ends.Inc()
+func (r *Runner) logEnd(e *executor.RunEnded) {
+	m := &e.Ended
+	r.counters.ends[e.Evidence.Ground].Inc()
 	if m.Outcome == executor.Refused {
 		r.counters.refused.Inc()
 	}
-	r.log.Info("run_ended", zap.Stringer("run", m.Run), zap.String("gateway", string(to)), zap.Stringer("how", m.Outcome),
-		zap.String("reason", string(m.Reason)), zap.Duration("took", m.Took))
+	r.log.Info("run_ended", zap.Stringer("run", m.Run), zap.String("gateway", string(e.Gateway)), zap.Stringer("how", m.Outcome),
+		zap.String("reason", string(m.Reason)), zap.Duration("took", m.Took), zap.Stringer("ground", e.Evidence.Ground), zap.Duration("evidence_age", e.Evidence.Age))
 }
 
 // dispatch makes a call to the worker in a goroutine of its own. The caller holds the lock.
--- a/internal/sidecar/runner/runner.go
+++ b/internal/sidecar/runner/runner.go
@@ -83,24 +83,35 @@
 
 // counters holds the metrics of a sidecar.
 type counters struct {
-	set                                                                     *metrics.Set
-	starts, ends, refused, unansweredOrders, messagesSent, messagesReceived *metrics.Counter
-	workerExits                                                             *metrics.Counter
+	set                                                               *metrics.Set
+	starts, refused, unansweredOrders, messagesSent, messagesReceived *metrics.Counter
+	workerExits                                                       *metrics.Counter
+	// ends counts the runs that were taken as over by the ground.
+	ends map[executor.Ground]*metrics.Counter
+	// listedAfterEnd counts those of them that the worker still lists as running, and
+	// listedUnknown the listed runs of earlier incarnations of this agent.
+	listedAfterEnd, listedUnknown *metrics.Counter
 }
 
 // newCounters registers the metrics in a set of their own.
 func newCounters() counters {
 	set := metrics.NewSet()
 	count := func(name string) *metrics.Counter { return set.NewCounter("dandeliongrade_sidecar_" + name) }
+	ends := make(map[executor.Ground]*metrics.Counter)
+	for _, g := range executor.Grounds() {
+		ends[g] = count(`ends_total{ground="` + g.String() + `"}`)
+	}
 	return counters{
 		set:              set,
 		starts:           count("starts_total"),
-		ends:             count("ends_total"),
+		ends:             ends,
 		refused:          count("starts_refused_total"),
 		unansweredOrders: count("orders_unanswered_total"),
 		messagesSent:     count("messages_sent_total"),
 		messagesReceived: count("messages_received_total"),
 		workerExits:      count("worker_exits_total"),
+		listedAfterEnd:   count("runs_listed_after_end_total"),
+		listedUnknown:    count("runs_listed_unknown_total"),
 	}
 }
 
--- a/internal/transient/executor/effects.go
+++ b/internal/transient/executor/effects.go
@@ -6,8 +6,8 @@
 	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 )
 
-// Effect is an action that the process must carry out: a Send, CloseLink, DeferEnd,
-// StartRun, StopRun, HoldNow, WorkerConfirmed or WorkerExited.
+// Effect is an action that the process must carry out: a Send, CloseLink, RunEnded,
+// StartRun, StopRun, HoldNow, WorkerConfirmed, WorkerExited, EndedRunListed or UnknownRunListed.
 type Effect interface{ effect() }
 
 // Send sends a message to a gateway.
@@ -21,11 +21,13 @@
 	To identifier.Entry
 }
 
-// DeferEnd reports that a run ended while its gateway was not linked. The executor keeps
-// the end and sends it with the next Attach, if the gateway links again in time.
-type DeferEnd struct {
-	To    identifier.Entry
-	Ended Ended
+// RunEnded reports that a run is taken as over, to be logged. If its gateway is linked, a Send
+// with the end follows. Otherwise the executor keeps the end and sends it with the next Attach, if
+// the gateway links again in time.
+type RunEnded struct {
+	Gateway  identifier.Entry
+	Ended    Ended
+	Evidence Evidence
 }
 
 // StartRun orders the worker to start a run. The outcome of the call goes to
@@ -65,11 +67,32 @@
 	Announced bool
 }
 
-func (Send) effect()            {}
-func (CloseLink) effect()       {}
-func (DeferEnd) effect()        {}
-func (StartRun) effect()        {}
-func (StopRun) effect()         {}
-func (HoldNow) effect()         {}
-func (WorkerConfirmed) effect() {}
-func (WorkerExited) effect()    {}
+// EndedRunListed reports that the worker lists a run as running that was taken as over before, to
+// be logged.
+type EndedRunListed struct {
+	Worker WorkerIncarnation
+	Run    RunID
+	// Evidence is that on which the run was taken as over, and Ago the time since then.
+	Evidence Evidence
+	Ago      time.Duration
+	// SameIncarnation is set if the run was meant for the incarnation of the worker that lists it.
+	SameIncarnation bool
+}
+
+// UnknownRunListed reports that the worker lists a run that was not known here, to be logged. An
+// earlier incarnation of the agent has started it.
+type UnknownRunListed struct {
+	Worker WorkerIncarnation
+	Run    RunID
+}
+
+func (Send) effect()             {}
+func (CloseLink) effect()        {}
+func (RunEnded) effect()         {}
+func (StartRun) effect()         {}
+func (StopRun) effect()          {}
+func (HoldNow) effect()          {}
+func (WorkerConfirmed) effect()  {}
+func (WorkerExited) effect()     {}
+func (EndedRunListed) effect()   {}
+func (UnknownRunListed) effect() {}
--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -83,6 +83,7 @@
 	draining  bool
 	// crashes holds the latest crashes of the worker, oldest first.
 	crashes []recordedCrash
+	past    pastRuns
 }
 
 // gatewayState is the state kept for one incarnation of a gateway.
@@ -210,7 +211,7 @@
 	reason := x.refusalReason(now, g, m)
 	waits := reason == NoRoom && x.queueable(m.Demand)
 	if reason != "" && !waits {
-		return x.sendEnd(now, gateway, g, Ended{Run: m.Run, Outcome: Refused, Reason: reason})
+		return x.sendEnd(now, gateway, g, Ended{Run: m.Run, Outcome: Refused, Reason: reason}, Evidence{Ground: RefusedOnArrival})
 	}
 	if x.runs == nil {
 		x.runs = make(map[RunID]*execution)
@@ -269,7 +270,9 @@
 			return nil
 		}
 	}
-	return x.sendEnd(now, gateway, g, Ended{Run: m.Run, Outcome: Refused, Reason: Unanswered})
+	evidence := Evidence{Ground: StopUnknown}
+	x.past.add(&pastRun{run: m.Run, worker: x.worker.WorkerIncarnation, evidence: evidence, at: now})
+	return x.sendEnd(now, gateway, g, Ended{Run: m.Run, Outcome: Refused, Reason: Unanswered}, evidence)
 }
 
 // latestPermit returns the time of the latest permit for a run, or now if there is none. Messages of a
@@ -288,7 +291,7 @@
 func (x *Executor) stopRun(now time.Time, run RunID, e *execution) []Effect {
 	switch e.phase {
 	case queued:
-		return x.finish(now, run, e, Stopped, "")
+		return x.finish(now, run, e, Stopped, "", Evidence{StoppedInQueue, now.Sub(e.since)})
 	case starting:
 		e.phase = uncertain
 	case running:
@@ -315,8 +318,9 @@
 
 // finish removes a run that has ended, reports the end to its gateway and reuses the
 // capacity.
-func (x *Executor) finish(now time.Time, run RunID, e *execution, outcome Outcome, reason Reason) []Effect {
+func (x *Executor) finish(now time.Time, run RunID, e *execution, outcome Outcome, reason Reason, evidence Evidence) []Effect {
 	delete(x.runs, run)
+	x.past.add(&pastRun{run: run, worker: e.worker, evidence: evidence, at: now})
 	g := x.gatewayOf(e)
 	var effects []Effect
 	if e.phase == queued {
@@ -324,24 +328,25 @@
 	} else {
 		effects = x.free(now, g, e.demand)
 	}
+	ended := Ended{Run: run, Outcome: outcome, Reason: reason, Took: now.Sub(e.since)}
 	if g == nil {
-		return effects
+		return append([]Effect{RunEnded{e.gateway, ended, evidence}}, effects...)
 	}
-	ended := Ended{Run: run, Outcome: outcome, Reason: reason, Took: now.Sub(e.since)}
-	return append(x.sendEnd(now, e.gateway, g, ended), effects...)
+	return append(x.sendEnd(now, e.gateway, g, ended, evidence), effects...)
 }
 
 // sendEnd keeps the end of a run for endRetention, and sends it if the gateway is linked.
-func (x *Executor) sendEnd(now time.Time, gateway identifier.Entry, g *gatewayState, ended Ended) []Effect {
+func (x *Executor) sendEnd(now time.Time, gateway identifier.Entry, g *gatewayState, ended Ended, evidence Evidence) []Effect {
 	for len(g.recentEnds) > 0 && now.Sub(g.recentEnds[0].at) >= endRetention {
 		g.recentEnds = g.recentEnds[1:]
 	}
 	g.recentEnds = append(g.recentEnds, recentEnd{now, ended})
+	effects := []Effect{RunEnded{gateway, ended, evidence}}
 	if !g.linked {
-		return []Effect{DeferEnd{gateway, ended}}
+		return effects
 	}
 	ended.UsedByOthers = x.reportUsedByOthers(g)
-	return []Effect{Send{gateway, &ended}}
+	return append(effects, Send{gateway, &ended})
 }
 
 // status returns the status of the worker as a gateway sees it.
--- a/internal/transient/executor/executor_test.go
+++ b/internal/transient/executor/executor_test.go
@@ -159,8 +159,8 @@
 			fmt.Fprintf(&out, "%s: %s\n", e.To, formatMessage(e.Message))
 		case CloseLink:
 			fmt.Fprintf(&out, "%s: close link\n", e.To)
-		case DeferEnd:
-			fmt.Fprintf(&out, "%s deferred: %s\n", e.To, formatMessage(&e.Ended))
+		case RunEnded:
+			fmt.Fprintf(&out, "run ended %s gateway=%s %s %s took=%s ground=%s evidence_age=%s\n", e.Ended.Run, e.Gateway, e.Ended.Outcome, e.Ended.Reason, e.Ended.Took, e.Evidence.Ground, e.Evidence.Age)
 		case StartRun:
 			if d.starts == nil {
 				d.starts = make(map[RunID]StartRun)
@@ -183,6 +183,10 @@
 				out.WriteString(" announced")
 			}
 			out.WriteString("\n")
+		case EndedRunListed:
+			fmt.Fprintf(&out, "ended run %s listed ground=%s evidence_age=%s ended_before=%s same_incarnation=%t\n", e.Run, e.Evidence.Ground, e.Evidence.Age, e.Ago, e.SameIncarnation)
+		case UnknownRunListed:
+			fmt.Fprintf(&out, "unknown run %s listed\n", e.Run)
 		}
 	}
 	return out.String()
--- a/internal/transient/executor/exit.go
+++ b/internal/transient/executor/exit.go
@@ -22,7 +22,7 @@
 	}
 	var effects []Effect
 	if w.fenced {
-		effects = append(x.recordExit(now), x.endRuns(now, outcome == Restarted)...)
+		effects = append(x.recordExit(now), x.endRuns(now, exitGround(outcome))...)
 		w.fenced = false
 		x.Fence++
 		w.fence = x.Fence
@@ -51,7 +51,8 @@
 func (x *Executor) refuseQueue(now time.Time) []Effect {
 	var effects []Effect
 	for _, run := range slices.Clone(x.queue) {
-		effects = append(effects, x.finish(now, run, x.runs[run], Refused, NoWorker)...)
+		e := x.runs[run]
+		effects = append(effects, x.finish(now, run, e, Refused, NoWorker, Evidence{QueueRefused, now.Sub(e.since)})...)
 	}
 	return effects
 }
@@ -61,15 +62,25 @@
 // order got no answer, because the next incarnation may still carry it out, and, if the next
 // incarnation has already started, those that no hold reply has confirmed, because it may be
 // the one that answered their start order.
-func (x *Executor) endRuns(now time.Time, restarted bool) []Effect {
+func (x *Executor) endRuns(now time.Time, ground Ground) []Effect {
 	effects := x.refuseQueue(now)
+	restarted := ground == WorkerRestarted || ground == WorkerReplaced
 	for _, run := range x.sortedRuns() {
 		e := x.runs[run]
 		if e.phase == starting || e.phase == uncertain || (restarted && !e.confirmed) {
 			e.phase, e.stopInFlight, e.stopAnswered = uncertain, false, time.Time{}
 			continue
 		}
-		effects = append(effects, x.finish(now, run, e, Lapsed, "")...)
+		effects = append(effects, x.finish(now, run, e, Lapsed, "", Evidence{ground, x.sinceAnswered(now)})...)
 	}
 	return effects
 }
+
+// sinceAnswered returns the time since the last hold was sent that the worker answered, or zero if it
+// has answered none.
+func (x *Executor) sinceAnswered(now time.Time) time.Duration {
+	if x.worker == nil || x.worker.lastAnswered.IsZero() {
+		return 0
+	}
+	return now.Sub(x.worker.lastAnswered)
+}
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -130,12 +130,13 @@
 	w.setClock(now, reply.Clock)
 	w.lastAnswered, w.closed = h.Sent, false
 	effects := x.confirm(h)
-	effects = append(effects, x.finishEnded(now, reply.Ended)...)
+	effects = append(effects, x.finishEnded(now, h, reply.Ended)...)
 	listed := make(map[RunID]bool, len(reply.Running))
 	for _, r := range reply.Running {
 		listed[r.Run] = true
 		e := x.runs[r.Run]
 		if e == nil {
+			effects = append(effects, x.checkListed(now, h, r.Run)...)
 			effects = append(effects, StopRun{Worker: w.WorkerIncarnation, Run: r.Run, Fence: w.fence})
 			continue
 		}
@@ -215,7 +216,7 @@
 }
 
 // finishEnded finishes the runs that the worker lists as ended for the first time.
-func (x *Executor) finishEnded(now time.Time, ends []EndedRun) []Effect {
+func (x *Executor) finishEnded(now time.Time, h Hold, ends []EndedRun) []Effect {
 	var effects []Effect
 	for _, end := range ends {
 		if end.Number <= x.worker.lastSeenEnd {
@@ -223,7 +224,7 @@
 		}
 		x.worker.lastSeenEnd = end.Number
 		if e := x.runs[end.Run]; e != nil {
-			effects = append(effects, x.finish(now, end.Run, e, end.Outcome, "")...)
+			effects = append(effects, x.finish(now, end.Run, e, end.Outcome, "", Evidence{ListedEnd, now.Sub(h.Sent)})...)
 		}
 	}
 	return effects
@@ -231,15 +232,16 @@
 
 // handleMissing handles a run that a hold reply lists neither as running nor as ended.
 func (x *Executor) handleMissing(now time.Time, h Hold, run RunID, e *execution) []Effect {
+	age := now.Sub(h.Sent)
 	switch {
 	case !e.worker.Equal(h.Worker):
 		// The run was ordered from an earlier incarnation of the worker. The order cannot
 		// be carried out any more, because the worker now refuses its fencing token.
-		return x.finish(now, run, e, Refused, Unanswered)
+		return x.finish(now, run, e, Refused, Unanswered, Evidence{EarlierIncarnation, age})
 	case e.phase == uncertain && !e.stopAnswered.IsZero() && h.Sent.After(e.stopAnswered):
-		return x.finish(now, run, e, Refused, Unanswered)
+		return x.finish(now, run, e, Refused, Unanswered, Evidence{NotListedAfterStop, age})
 	case (e.phase == running || e.phase == stopping) && h.Sent.After(e.since):
-		return x.finish(now, run, e, Lapsed, "")
+		return x.finish(now, run, e, Lapsed, "", Evidence{NotListed, age})
 	case (e.phase == starting || e.phase == uncertain) && h.Sent.Sub(e.since) >= overdueAfter:
 		e.missing = true
 	}
@@ -310,7 +312,7 @@
 	}
 	for _, run := range x.sortedRuns() {
 		if e := x.runs[run]; e.phase == running || e.phase == stopping {
-			effects = append(effects, x.finish(now, run, e, Lapsed, "")...)
+			effects = append(effects, x.finish(now, run, e, Lapsed, "", Evidence{LeaseOver, now.Sub(w.lastExtended)})...)
 		}
 	}
 	return effects
--- a/internal/transient/executor/order_outcome.go
+++ b/internal/transient/executor/order_outcome.go
@@ -9,7 +9,7 @@
 		effects := x.handleWorkerExit(now, order.Worker, outcome)
 		// The order was not carried out, but the run may have ended with the worker already.
 		if e != nil && x.runs[order.Run] == e && !e.confirmed && e.worker.Equal(order.Worker) {
-			effects = append(effects, x.finish(now, order.Run, e, Refused, NoWorker)...)
+			effects = append(effects, x.finish(now, order.Run, e, Refused, NoWorker, Evidence{StartUndelivered, now.Sub(e.since)})...)
 		}
 		return effects
 	}
@@ -22,8 +22,10 @@
 		return nil
 	}
 	switch {
-	case outcome == Declined, outcome == StaleFence:
-		return x.finish(now, order.Run, e, Refused, Rejected)
+	case outcome == Declined:
+		return x.finish(now, order.Run, e, Refused, Rejected, Evidence{StartDeclined, now.Sub(e.since)})
+	case outcome == StaleFence:
+		return x.finish(now, order.Run, e, Refused, Rejected, Evidence{StartFenced, now.Sub(e.since)})
 	case outcome == Silent:
 		if e.confirmed {
 			return nil
--- a/internal/transient/executor/queue.go
+++ b/internal/transient/executor/queue.go
@@ -64,7 +64,7 @@
 	var effects []Effect
 	for _, run := range slices.Clone(x.queue) {
 		if e := x.runs[run]; now.Sub(e.since) >= maxQueueWait {
-			effects = append(effects, x.finish(now, run, e, Refused, NoRoom)...)
+			effects = append(effects, x.finish(now, run, e, Refused, NoRoom, Evidence{QueueExpired, now.Sub(e.since)})...)
 		}
 	}
 	return effects
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -322,18 +322,19 @@
 					l.sendToGateway(e.Message)
 				}
 			}
-			if m, ok := e.Message.(*executor.Ended); ok {
-				a.sim.logf("%s reports to %s %s %s %s", a.name, e.To, m.Run, m.Outcome, m.Reason)
-				if m.Outcome == executor.Refused {
-					a.sim.refused++
-				}
-			}
 		case executor.CloseLink:
 			for _, g := range a.sim.gateways {
 				if l := a.links[g]; l != nil && g.name == e.To {
 					l.closeAgentEnd()
 				}
 			}
+		case executor.RunEnded:
+			a.sim.logf("%s takes %s of %s as over: %s %s, %s, evidence %s old", a.name, e.Ended.Run, e.Gateway, e.Ended.Outcome, e.Ended.Reason, e.Evidence.Ground, e.Evidence.Age)
+			if e.Ended.Outcome == executor.Refused {
+				a.sim.refused++
+			}
+		case executor.EndedRunListed:
+			a.sim.violate("worker %s lists %s, which was taken as over %s before by %s, evidence %s old, same_incarnation=%t", a.worker.id, e.Run, e.Ago, e.Evidence.Ground, e.Evidence.Age, e.SameIncarnation)
 		case executor.StartRun:
 			a.worker.call(a, "start "+e.Run.String(), func() executor.CallOutcome { return a.worker.startRun(e) }, func(r executor.CallOutcome) {
 				a.perform(a.executor.HandleStartOutcome(a.sim.now, e, r))
