--- a/internal/gateway/runner/endpoints.go
+++ b/internal/gateway/runner/endpoints.go
@@ -21,14 +21,21 @@
 	// closed the connection, before this process had read that.
 	closedUnread  *metrics.Counter
 	answerSeconds *metrics.Histogram
-	// events counts the logged events by their names.
-	events map[string]*metrics.Counter
+	// resubmitted counts the jobs that were known or answered here when they were submitted.
+	resubmitted *metrics.Counter
+	// runsLost counts the lost runs by the ground, events the other logged events by their names.
+	runsLost map[coordinator.Ground]*metrics.Counter
+	events   map[string]*metrics.Counter
 }
 
 // newCounters registers the metrics in a set of their own.
 func newCounters() counters {
 	set := metrics.NewSet()
 	count := func(name string) *metrics.Counter { return set.NewCounter("dandeliongrade_gateway_" + name) }
+	runsLost := make(map[coordinator.Ground]*metrics.Counter)
+	for _, g := range coordinator.Grounds() {
+		runsLost[g] = count(`runs_lost_total{ground="` + g.String() + `"}`)
+	}
 	return counters{
 		set:              set,
 		jobs:             count("jobs_total"),
@@ -48,9 +55,10 @@
 		heldInVain: count("jobs_held_in_vain_total"),
 
 		closedUnread: count("jobs_closed_unread_total"),
+		resubmitted:  count("jobs_resubmitted_total"),
 
+		runsLost: runsLost,
 		events: map[string]*metrics.Counter{
-			coordinator.EventRunLost:        count("runs_lost_total"),
 			coordinator.EventWorkerStalled:  count("workers_stalled_total"),
 			coordinator.EventRefusedInError: count("jobs_refused_in_error_total"),
 			coordinator.EventTaskBlamed:     count("tasks_blamed_total"),
--- a/internal/gateway/runner/jobs.go
+++ b/internal/gateway/runner/jobs.go
@@ -83,9 +83,15 @@
 		previous.answer <- coordinator.Answer{State: coordinator.Unfinished}
 	}
 	r.callers[job.ID] = c
+	now := r.clock()
+	resubmitted := r.coordinator.Knows(now, job.ID)
+	if resubmitted {
+		r.counters.resubmitted.Inc()
+	}
 	r.log.Info("job_accepted", zap.String("job", string(job.ID)), zap.String("queue", job.Queue.Name), zap.Int("tasks", job.Tasks),
-		zap.Duration("budget", job.Budget), zap.Duration("estimate", job.Estimate), zap.Uint64("manifest", r.router.Manifest().Version))
-	r.perform(r.coordinator.Submit(r.clock(), job))
+		zap.Duration("budget", job.Budget), zap.Duration("estimate", job.Estimate), zap.Uint64("manifest", r.router.Manifest().Version),
+		zap.Bool("resubmitted", resubmitted))
+	r.perform(r.coordinator.Submit(now, job))
 }
 
 // JobState returns the state of a job.
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -163,14 +163,23 @@
 		case coordinator.Reply:
 			r.reply(&e)
 		case coordinator.LogEvent:
-			if c := r.counters.events[e.Name]; c != nil {
-				c.Inc()
-			}
-			r.log.Info(e.Name, zap.Stringer("run", e.Run), zap.String("agent", string(e.Agent)), zap.String("cause", e.Cause), zap.Duration("agent_heard_before", e.SinceHeard))
+			r.logEvent(&e)
 		}
 	}
 }
 
+// logEvent counts and logs an event.
+func (r *Runner) logEvent(e *coordinator.LogEvent) {
+	fields := []zap.Field{zap.Stringer("run", e.Run), zap.String("agent", string(e.Agent)), zap.String("cause", e.Cause), zap.Duration("agent_heard_before", e.SinceHeard)}
+	if e.Name == coordinator.EventRunLost {
+		r.counters.runsLost[e.Ground].Inc()
+		fields = append(fields, zap.Stringer("ground", e.Ground), zap.Duration("permit_age", e.PermitAge))
+	} else if c := r.counters.events[e.Name]; c != nil {
+		c.Inc()
+	}
+	r.log.Info(e.Name, fields...)
+}
+
 // closeLink closes the link to an agent. Its goroutine then reports the end to the coordinator.
 func (r *Runner) closeLink(e *coordinator.CloseLink) {
 	if link := r.agentLinks[e.To]; link != nil {
--- a/internal/transient/coordinator/agents.go
+++ b/internal/transient/coordinator/agents.go
@@ -93,10 +93,13 @@
 	}
 	c.noteAvailability(now, a)
 	for _, end := range m.Ends {
-		effects = append(effects, c.runEnded(now, a, &end)...)
+		effects = append(effects, c.runEnded(now, a, &end, ReportedAtAttach)...)
 	}
-	if a.staleUntil.IsZero() || m.Status.Available {
-		effects = append(effects, c.lapseUnlisted(now, a, m.Runs)...)
+	switch {
+	case a.staleUntil.IsZero():
+		effects = append(effects, c.lapseUnlisted(now, a, m.Runs, NotListedAtAttach)...)
+	case m.Status.Available:
+		effects = append(effects, c.lapseUnlisted(now, a, m.Runs, AgentRestarted)...)
 	}
 	for _, run := range m.Runs {
 		j := a.runs[run]
@@ -118,7 +121,7 @@
 	c.noteAvailability(now, a)
 	var effects []Effect
 	if m.Available && !a.staleUntil.IsZero() {
-		effects = c.lapseUnlisted(now, a, nil)
+		effects = c.lapseUnlisted(now, a, nil, AgentRestarted)
 	}
 	if m.Stalled {
 		effects = append(effects, c.workerStalled(now, a)...)
@@ -127,12 +130,12 @@
 }
 
 // lapseUnlisted ends all runs at an agent, except those listed, as lapsed.
-func (c *Coordinator) lapseUnlisted(now time.Time, a *agent, listed []executor.RunID) []Effect {
+func (c *Coordinator) lapseUnlisted(now time.Time, a *agent, listed []executor.RunID, ground Ground) []Effect {
 	a.staleUntil = time.Time{}
 	var effects []Effect
 	for _, run := range a.sortedRuns() {
 		if !slices.Contains(listed, run) {
-			effects = append(effects, c.runEnded(now, a, &executor.Ended{Run: run, Outcome: executor.Lapsed})...)
+			effects = append(effects, c.runEnded(now, a, &executor.Ended{Run: run, Outcome: executor.Lapsed}, ground)...)
 		}
 	}
 	return effects
@@ -209,12 +212,12 @@
 		return nil
 	}
 	a.lastHeard, a.status.UsedByOthers = now, m.UsedByOthers
-	return append(c.runEnded(now, a, m), c.place(now)...)
+	return append(c.runEnded(now, a, m, Reported), c.place(now)...)
 }
 
 // runEnded removes a run from its agent, updates the health of the worker, and completes,
 // retries or fails the task. The end of a run that is not known here has no effect.
-func (c *Coordinator) runEnded(now time.Time, a *agent, m *executor.Ended) []Effect {
+func (c *Coordinator) runEnded(now time.Time, a *agent, m *executor.Ended, ground Ground) []Effect {
 	j := a.runs[m.Run]
 	if j == nil {
 		return nil
@@ -241,7 +244,7 @@
 	if m.Outcome == executor.Done {
 		return c.taskDone(now, j, t)
 	}
-	return c.retryOrFail(now, a, j, t, m)
+	return c.retryOrFail(now, a, j, t, m, ground)
 }
 
 // observe adds the run time of a task to the estimates for its queue and for the worker.
@@ -267,10 +270,10 @@
 
 // retryOrFail puts a task back among the pending ones, or fails its job if the task has
 // used its attempts.
-func (c *Coordinator) retryOrFail(now time.Time, a *agent, j *job, t *task, m *executor.Ended) []Effect {
+func (c *Coordinator) retryOrFail(now time.Time, a *agent, j *job, t *task, m *executor.Ended, ground Ground) []Effect {
 	j.lostRuns++
 	t.avoidAgent = a.name
-	event := LogEvent{Name: EventRunLost, Run: m.Run, Agent: a.name, Cause: m.Outcome.String(), SinceHeard: now.Sub(a.lastHeard)}
+	event := LogEvent{Name: EventRunLost, Run: m.Run, Agent: a.name, Cause: m.Outcome.String(), SinceHeard: now.Sub(a.lastHeard), Ground: ground, PermitAge: now.Sub(a.permitSent)}
 	if m.Outcome == executor.Refused {
 		event.Cause = string(m.Reason)
 	}
@@ -292,9 +295,9 @@
 	for _, a := range c.sortedAgents() {
 		switch {
 		case !a.staleUntil.IsZero() && !now.Before(a.staleUntil):
-			effects = append(effects, c.lapseUnlisted(now, a, nil)...)
+			effects = append(effects, c.lapseUnlisted(now, a, nil, RestartExpired)...)
 		case !a.attached && now.Sub(a.permitSent) >= executor.RunsOverAfter:
-			effects = append(effects, c.lapseUnlisted(now, a, nil)...)
+			effects = append(effects, c.lapseUnlisted(now, a, nil, PermitExpired)...)
 		}
 		if !a.linked && len(a.runs) == 0 {
 			delete(c.agents, a.name)
--- a/internal/transient/coordinator/answers.go
+++ b/internal/transient/coordinator/answers.go
@@ -46,3 +46,10 @@
 		c.order = c.order[1:]
 	}
 }
+
+// Knows reports whether a job was submitted here before: it has no answer yet, its answer is kept, or
+// its runs have not ended.
+func (c *Coordinator) Knows(now time.Time, id specifier.JobID) bool {
+	_, answered := c.answers.find(now, id)
+	return answered || c.jobs[id] != nil
+}
--- a/internal/transient/coordinator/coordinator_test.go
+++ b/internal/transient/coordinator/coordinator_test.go
@@ -48,7 +48,7 @@
 //
 //	submit JOB TASKS [queue=NAME] [priority=N] [attempts=N] [cpu=N] [estimate=D] [budget=D] [rack=R] [label=L]
 //	close JOB (the caller closes its connection, which caller_left reads later)
-//	caller_left JOB; cancel JOB; state JOB; waiting QUEUE; tick; drain LIMIT; stop
+//	caller_left JOB; cancel JOB; state JOB; knows JOB; waiting QUEUE; tick; drain LIMIT; stop
 //	link AGENT INCARNATION; unlink AGENT
 //	attach AGENT CPU [unavailable] [label=L] [has=TASK]... [ended=TASK:OUTCOME]... [crash=STARTED:TASK]... [no_request]
 //	release AGENT
@@ -74,6 +74,8 @@
 		return s.String() + "\n" + d.format(effects)
 	case "state":
 		return d.c.State(now, specifier.JobID(args[0])).String()
+	case "knows":
+		return strconv.FormatBool(d.c.Knows(now, specifier.JobID(args[0])))
 	case "waiting":
 		return strconv.Itoa(d.c.WaitingJobs(args[0]))
 	case "tick":
@@ -144,7 +146,11 @@
 				fmt.Fprintf(&out, "log %s: %s\n", e.Name, e.Cause)
 				continue
 			}
-			fmt.Fprintf(&out, "log %s %s at %s: %s\n", e.Name, taskOf(e.Run), e.Agent, e.Cause)
+			fmt.Fprintf(&out, "log %s %s at %s: %s", e.Name, taskOf(e.Run), e.Agent, e.Cause)
+			if e.Ground != 0 {
+				fmt.Fprintf(&out, " ground=%s permit_age=%s", e.Ground, e.PermitAge)
+			}
+			out.WriteString("\n")
 		}
 	}
 	return out.String()
--- a/internal/transient/coordinator/effects.go
+++ b/internal/transient/coordinator/effects.go
@@ -114,6 +114,10 @@
 	Cause string
 	// SinceHeard is the time since the last message of the agent.
 	SinceHeard time.Duration
+	// Ground is why a lost run is taken as over, and PermitAge the time since the last permit to its
+	// agent. They are set for EventRunLost only.
+	Ground    Ground
+	PermitAge time.Duration
 }
 
 // PassOn sends a report to all gateways that are linked, unless every agent is linked to all.
