--- a/internal/transient/executor/call_outcome.go
+++ b/internal/transient/executor/call_outcome.go
@@ -9,8 +9,8 @@
 	Accepted CallOutcome = iota + 1
 	// Declined means that the order was not carried out and never will be.
 	Declined
-	// Silent means that there was no answer. The order may have been carried out, or may
-	// still be.
+	// Silent means that there was no answer, or one that does not tell. The order may have been
+	// carried out, or may still be.
 	Silent
 	// Gone means that the worker has exited: another one answered at its address.
 	Gone
