--- a/internal/transient/executor/effects.go
+++ b/internal/transient/executor/effects.go
@@ -39,6 +39,7 @@
 	// LeaseEnd is the end of the lease, on the worker's clock.
 	LeaseEnd time.Duration
 	Fence    uint64
+	Sent     time.Time
 }
 
 // StopRun orders the worker to stop a run. The outcome of the call goes to
@@ -47,6 +48,7 @@
 	Worker WorkerIncarnation
 	Run    RunID
 	Fence  uint64
+	Sent   time.Time
 }
 
 // HoldNow asks for the next hold to be sent at once.
--- a/internal/transient/executor/executor.go
+++ b/internal/transient/executor/executor.go
@@ -301,7 +301,7 @@
 		return nil
 	}
 	e.stopSent, e.stopInFlight = now, true
-	return []Effect{StopRun{Worker: x.worker.WorkerIncarnation, Run: run, Fence: x.worker.fence}}
+	return []Effect{StopRun{Worker: x.worker.WorkerIncarnation, Run: run, Fence: x.worker.fence, Sent: now}}
 }
 
 // revoke stops the runs of a gateway for which match returns true.
--- a/internal/transient/executor/exit.go
+++ b/internal/transient/executor/exit.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// handleWorkerExit handles a call whose outcome shows that a worker has exited or that nothing
-// listens at its address. It ends the worker's runs, and adopts its successor if one was
+// handleWorkerExit handles a call, sent at the given time, whose outcome shows that a worker has exited
+// or that nothing listens at its address. It ends the worker's runs, and adopts its successor if one was
 // reported. The worker gets no more runs until it has accepted a higher fencing token, because
 // it may restart under the same name.
 //
 // A worker that shuts down may close its port before its runs have ended. After its announcement
 // the runs therefore end only when the lease has expired, unless another incarnation answers.
-func (x *Executor) handleWorkerExit(now time.Time, worker WorkerIncarnation, outcome CallOutcome) []Effect {
+func (x *Executor) handleWorkerExit(now time.Time, worker WorkerIncarnation, outcome CallOutcome, sent time.Time) []Effect {
 	w := x.worker
 	if w == nil || !w.WorkerIncarnation.Equal(worker) {
 		return nil
@@ -22,7 +22,7 @@
 	}
 	var effects []Effect
 	if w.fenced {
-		effects = append(x.recordExit(now), x.endRuns(now, exitGround(outcome))...)
+		effects = append(x.recordExit(now), x.endRuns(now, exitGround(outcome), sent)...)
 		w.fenced = false
 		x.Fence++
 		w.fence = x.Fence
@@ -57,17 +57,18 @@
 	return effects
 }
 
-// endRuns ends the runs of a worker that has exited. Two kinds of runs become uncertain
-// instead, until the next incarnation has accepted a higher fencing token: those whose start
-// order got no answer, because the next incarnation may still carry it out, and, if the next
-// incarnation has already started, those that no hold reply has confirmed, because it may be
-// the one that answered their start order.
-func (x *Executor) endRuns(now time.Time, ground Ground) []Effect {
+// endRuns ends the runs of a worker that has exited, as a call showed that was sent at the given
+// time. Two kinds of runs become uncertain instead, until the next incarnation has accepted a higher
+// fencing token: those whose start order got no answer, because the next incarnation may still carry
+// it out, and those that no hold reply has confirmed, if the next incarnation may be the one that
+// answered their start order. That is so if it has started already, or if the answer came after the
+// call was sent: the outcome of the call may be handled late.
+func (x *Executor) endRuns(now time.Time, ground Ground, sent time.Time) []Effect {
 	effects := x.refuseQueue(now)
 	restarted := ground == WorkerRestarted || ground == WorkerReplaced
 	for _, run := range x.sortedRuns() {
 		e := x.runs[run]
-		if e.phase == starting || e.phase == uncertain || (restarted && !e.confirmed) {
+		if e.phase == starting || e.phase == uncertain || (!e.confirmed && (restarted || e.since.After(sent))) {
 			e.phase, e.stopInFlight, e.stopAnswered = uncertain, false, time.Time{}
 			continue
 		}
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -137,7 +137,7 @@
 		e := x.runs[r.Run]
 		if e == nil {
 			effects = append(effects, x.checkListed(now, h, r.Run)...)
-			effects = append(effects, StopRun{Worker: w.WorkerIncarnation, Run: r.Run, Fence: w.fence})
+			effects = append(effects, StopRun{Worker: w.WorkerIncarnation, Run: r.Run, Fence: w.fence, Sent: now})
 			continue
 		}
 		e.confirmed, e.missing = e.worker.Equal(w.WorkerIncarnation), false
@@ -254,7 +254,7 @@
 // HoldFailed handles a hold whose outcome was not Accepted.
 func (x *Executor) HoldFailed(now time.Time, h Hold, outcome CallOutcome) []Effect {
 	if outcome == Gone || outcome == Closed || outcome == Restarted {
-		return x.handleWorkerExit(now, h.Worker, outcome)
+		return x.handleWorkerExit(now, h.Worker, outcome, h.Sent)
 	}
 	x.noteUnanswered(now, h.Worker)
 	switch {
--- a/internal/transient/executor/order_outcome.go
+++ b/internal/transient/executor/order_outcome.go
@@ -6,7 +6,7 @@
 func (x *Executor) HandleStartOutcome(now time.Time, order StartRun, outcome CallOutcome) []Effect {
 	e := x.runs[order.Run]
 	if outcome == Gone || outcome == Closed {
-		effects := x.handleWorkerExit(now, order.Worker, outcome)
+		effects := x.handleWorkerExit(now, order.Worker, outcome, order.Sent)
 		// The order was not carried out, but the run may have ended with the worker already.
 		if e != nil && x.runs[order.Run] == e && !e.confirmed && e.worker.Equal(order.Worker) {
 			effects = append(effects, x.finish(now, order.Run, e, Refused, NoWorker, Evidence{StartUndelivered, now.Sub(e.since)})...)
@@ -46,7 +46,7 @@
 		e.stopInFlight = false
 	}
 	if outcome == Gone || outcome == Closed {
-		return x.handleWorkerExit(now, order.Worker, outcome)
+		return x.handleWorkerExit(now, order.Worker, outcome, order.Sent)
 	}
 	if e == nil {
 		return nil
--- a/internal/transient/executor/queue.go
+++ b/internal/transient/executor/queue.go
@@ -74,7 +74,7 @@
 func (x *Executor) startRun(now time.Time, run RunID, g *gatewayState, e *execution) []Effect {
 	e.phase, e.since = starting, now
 	x.allocate(g, e.demand)
-	order := StartRun{Worker: x.worker.WorkerIncarnation, Run: run, Spec: e.spec, LeaseEnd: x.worker.extendLease(now), Fence: x.worker.fence}
+	order := StartRun{Worker: x.worker.WorkerIncarnation, Run: run, Spec: e.spec, LeaseEnd: x.worker.extendLease(now), Fence: x.worker.fence, Sent: now}
 	return append(x.sendLargeChanges(e.gateway), order)
 }
 
--- a/internal/transient/executor/worker.go
+++ b/internal/transient/executor/worker.go
@@ -124,7 +124,7 @@
 // adopt replaces the worker by an incarnation that was reported. It gets no runs before it has
 // answered a hold.
 func (x *Executor) adopt(now time.Time, r WorkerReport) []Effect {
-	effects := x.endRuns(now, WorkerReplaced)
+	effects := x.endRuns(now, WorkerReplaced, now)
 	// The new incarnation has seen no fencing token yet, so a late order meant for the
 	// earlier one could start a run there. A higher token prevents that.
 	x.Fence++
