--- a/internal/transient/executor/worker.go
+++ b/internal/transient/executor/worker.go
@@ -81,11 +81,16 @@
 	return now.Sub(w.lastExtended) >= LeaseDuration+ExpiryMargin
 }
 
+// clockLagDivisor bounds how slow the worker's clock may be: it may lose 1/clockLagDivisor of the time.
+const clockLagDivisor = 50
+
 // extendLease returns the end of a lease that starts now, on the worker's clock, and
-// records the extension.
+// records the extension. The clock counts as slow since it was read, because a lease that is computed
+// from an old reading would end too late otherwise.
 func (w *workerState) extendLease(now time.Time) time.Duration {
 	w.lastExtended = now
-	return w.clock + now.Sub(w.clockAt) + LeaseDuration
+	sinceRead := now.Sub(w.clockAt)
+	return w.clock + sinceRead - sinceRead/clockLagDivisor + LeaseDuration
 }
 
 // setClock records a reading of the worker's clock.
--- a/internal/transient/executor/worker_test.go
+++ b/internal/transient/executor/worker_test.go
@@ -32,3 +32,19 @@
 		assert.Equal(t, base.Describes(&changed), c.same, name)
 	}
 }
+
+// TestSlowWorkerClock extends the lease of a worker whose clock is as slow as it may be, by a reading of
+// that clock of some age. The lease must be over when the agent takes it as over.
+func TestSlowWorkerClock(t *testing.T) {
+	const slowRate = 0.98
+	start := time.UnixMilli(0)
+	for _, age := range []time.Duration{0, 120 * time.Millisecond, time.Second, 5 * time.Second, 20 * time.Second} {
+		w := &workerState{}
+		w.setClock(start, time.Minute)
+		now := start.Add(age)
+		leaseEnd := w.extendLease(now)
+		clock := time.Minute + time.Duration(slowRate*float64(age))
+		lasts := time.Duration(float64(leaseEnd-clock) / slowRate)
+		assert.Assert(t, !w.leaseOver(now.Add(lasts-1)), "a reading %s old gives a lease of %s", age, lasts)
+	}
+}
