--- a/internal/transient/executor/order_outcome.go
+++ b/internal/transient/executor/order_outcome.go
@@ -6,10 +6,10 @@
 func (x *Executor) HandleStartOutcome(now time.Time, order StartRun, outcome CallOutcome) []Effect {
 	e := x.runs[order.Run]
 	if outcome == Gone || outcome == Closed {
-		effects := x.handleWorkerExit(now, order.Worker, outcome)
+		effects := x.handleWorkerExit(now, order.Worker, outcome, order.Sent)
 		// The order was not carried out, but the run may have ended with the worker already.
 		if e != nil && x.runs[order.Run] == e && !e.confirmed && e.worker.Equal(order.Worker) {
-			effects = append(effects, x.finish(now, order.Run, e, Refused, NoWorker)...)
+			effects = append(effects, x.finish(now, order.Run, e, Refused, NoWorker, Evidence{StartUndelivered, now.Sub(e.since)})...)
 		}
 		return effects
 	}
@@ -22,8 +22,10 @@
 		return nil
 	}
 	switch {
-	case outcome == Declined, outcome == StaleFence:
-		return x.finish(now, order.Run, e, Refused, Rejected)
+	case outcome == Declined:
+		return x.finish(now, order.Run, e, Refused, Rejected, Evidence{StartDeclined, now.Sub(e.since)})
+	case outcome == StaleFence:
+		return x.finish(now, order.Run, e, Refused, Rejected, Evidence{StartFenced, now.Sub(e.since)})
 	case outcome == Silent:
 		if e.confirmed {
 			return nil
@@ -44,7 +46,7 @@
 		e.stopInFlight = false
 	}
 	if outcome == Gone || outcome == Closed {
-		return x.handleWorkerExit(now, order.Worker, outcome)
+		return x.handleWorkerExit(now, order.Worker, outcome, order.Sent)
 	}
 	if e == nil {
 		return nil
--- a/internal/transient/executor/queue.go
+++ b/internal/transient/executor/queue.go
@@ -64,7 +64,7 @@
 	var effects []Effect
 	for _, run := range slices.Clone(x.queue) {
 		if e := x.runs[run]; now.Sub(e.since) >= maxQueueWait {
-			effects = append(effects, x.finish(now, run, e, Refused, NoRoom)...)
+			effects = append(effects, x.finish(now, run, e, Refused, NoRoom, Evidence{QueueExpired, now.Sub(e.since)})...)
 		}
 	}
 	return effects
@@ -74,7 +74,7 @@
 func (x *Executor) startRun(now time.Time, run RunID, g *gatewayState, e *execution) []Effect {
 	e.phase, e.since = starting, now
 	x.allocate(g, e.demand)
-	order := StartRun{Worker: x.worker.WorkerIncarnation, Run: run, Spec: e.spec, LeaseEnd: x.worker.extendLease(now), Fence: x.worker.fence}
+	order := StartRun{Worker: x.worker.WorkerIncarnation, Run: run, Spec: e.spec, LeaseEnd: x.worker.extendLease(now), Fence: x.worker.fence, Sent: now}
 	return append(x.sendLargeChanges(e.gateway), order)
 }
 
--- a/internal/transient/executor/worker.go
+++ b/internal/transient/executor/worker.go
@@ -81,11 +81,16 @@
 	return now.Sub(w.lastExtended) >= LeaseDuration+ExpiryMargin
 }
 
+// clockLagDivisor bounds how slow the worker's clock may be: it may lose 1/clockLagDivisor of the time.
+const clockLagDivisor = 50
+
 // extendLease returns the end of a lease that starts now, on the worker's clock, and
-// records the extension.
+// records the extension. The clock counts as slow since it was read, because a lease that is computed
+// from an old reading would end too late otherwise.
 func (w *workerState) extendLease(now time.Time) time.Duration {
 	w.lastExtended = now
-	return w.clock + now.Sub(w.clockAt) + LeaseDuration
+	sinceRead := now.Sub(w.clockAt)
+	return w.clock + sinceRead - sinceRead/clockLagDivisor + LeaseDuration
 }
 
 // setClock records a reading of the worker's clock.
@@ -124,7 +129,7 @@
 // adopt replaces the worker by an incarnation that was reported. It gets no runs before it has
 // answered a hold.
 func (x *Executor) adopt(now time.Time, r WorkerReport) []Effect {
-	effects := x.endRuns(now, true)
+	effects := x.endRuns(now, WorkerReplaced, now)
 	// The new incarnation has seen no fencing token yet, so a late order meant for the
 	// earlier one could start a run there. A higher token prevents that.
 	x.Fence++
