--- a/internal/sidecar/runner/orders.go
+++ b/internal/sidecar/runner/orders.go
@@ -35,7 +35,11 @@
 			r.log.Warn("worker_exited", zap.String("worker", e.Worker.Name), zap.Time("born", e.Worker.StartedAt), zap.Bool("announced", e.Announced), zap.Stringers("runs", e.Runs))
 		case executor.EndedRunListed:
 			r.counters.listedAfterEnd.Inc()
-			r.log.Warn("run_listed_after_end", zap.Stringer("run", e.Run), zap.String("worker", e.Worker.Name), zap.Time("born", e.Worker.StartedAt), zap.Bool("same_incarnation", e.SameIncarnation),
+			listed := "running"
+			if e.Outcome != 0 {
+				listed = e.Outcome.String()
+			}
+			r.log.Warn("run_listed_after_end", zap.Stringer("run", e.Run), zap.String("listed", listed), zap.String("worker", e.Worker.Name), zap.Time("born", e.Worker.StartedAt), zap.Bool("same_incarnation", e.SameIncarnation),
 				zap.Stringer("ground", e.Evidence.Ground), zap.Duration("evidence_age", e.Evidence.Age), zap.Duration("ended_before", e.Ago))
 		case executor.UnknownRunListed:
 			r.counters.listedUnknown.Inc()
--- a/internal/transient/executor/effects.go
+++ b/internal/transient/executor/effects.go
@@ -69,11 +69,12 @@
 	Announced bool
 }
 
-// EndedRunListed reports that the worker lists a run as running that was taken as over before, to
-// be logged.
+// EndedRunListed reports that the worker lists a run that was taken as over before, to be logged.
 type EndedRunListed struct {
 	Worker WorkerIncarnation
 	Run    RunID
+	// Outcome is that of the run if the worker lists its end, and zero if it lists the run as running.
+	Outcome Outcome
 	// Evidence is that on which the run was taken as over, and Ago the time since then.
 	Evidence Evidence
 	Ago      time.Duration
--- a/internal/transient/executor/executor_test.go
+++ b/internal/transient/executor/executor_test.go
@@ -184,7 +184,11 @@
 			}
 			out.WriteString("\n")
 		case EndedRunListed:
-			fmt.Fprintf(&out, "ended run %s listed ground=%s evidence_age=%s ended_before=%s same_incarnation=%t\n", e.Run, e.Evidence.Ground, e.Evidence.Age, e.Ago, e.SameIncarnation)
+			listed := "listed"
+			if e.Outcome != 0 {
+				listed = "listed as " + e.Outcome.String()
+			}
+			fmt.Fprintf(&out, "ended run %s %s ground=%s evidence_age=%s ended_before=%s same_incarnation=%t\n", e.Run, listed, e.Evidence.Ground, e.Evidence.Age, e.Ago, e.SameIncarnation)
 		case UnknownRunListed:
 			fmt.Fprintf(&out, "unknown run %s listed\n", e.Run)
 		}
--- a/internal/transient/executor/hold.go
+++ b/internal/transient/executor/hold.go
@@ -225,7 +225,9 @@
 		x.worker.lastSeenEnd = end.Number
 		if e := x.runs[end.Run]; e != nil {
 			effects = append(effects, x.finish(now, end.Run, e, end.Outcome, "", Evidence{ListedEnd, now.Sub(h.Sent)})...)
+			continue
 		}
+		effects = append(effects, x.checkEndListed(now, end)...)
 	}
 	return effects
 }
--- a/internal/transient/executor/past.go
+++ b/internal/transient/executor/past.go
@@ -69,3 +69,24 @@
 	past.listed = true
 	return []Effect{EndedRunListed{Worker: h.Worker, Run: run, Evidence: past.evidence, Ago: now.Sub(past.at), SameIncarnation: past.worker.Equal(h.Worker)}}
 }
+
+// startedAfterAll reports whether an end that the worker lists contradicts the ground on which the run
+// was taken as over: that it has not started, or that it has ended already.
+func (g Ground) startedAfterAll() bool {
+	switch g {
+	case NotListed, NotListedAfterStop, EarlierIncarnation, StartDeclined, StartFenced, StartUndelivered, RefusedOnArrival, StopUnknown:
+		return true
+	}
+	return false
+}
+
+// checkEndListed reports a run whose end the worker lists although it was taken as not started, or as
+// over without an end, before. It was running for a while after that.
+func (x *Executor) checkEndListed(now time.Time, end EndedRun) []Effect {
+	past, w := x.past.find(now, end.Run), x.worker.WorkerIncarnation
+	if past == nil || past.listed || !past.evidence.Ground.startedAfterAll() {
+		return nil
+	}
+	past.listed = true
+	return []Effect{EndedRunListed{Worker: w, Run: end.Run, Outcome: end.Outcome, Evidence: past.evidence, Ago: now.Sub(past.at), SameIncarnation: past.worker.Equal(w)}}
+}
