--- a/internal/gateway/runner/claims.go
+++ b/internal/gateway/runner/claims.go
@@ -63,10 +63,14 @@
 	case *arbiter.Yield:
 		r.sendDecisions(now, r.arbiter.HandleYield(from, m))
 	case *arbiter.Grant:
-		r.arbiter.Answered(from.Gateway)
+		if r.coordinator.Awaits(from.Gateway, m.Job, m.Number) {
+			r.arbiter.Answered(from.Gateway)
+		}
 		r.perform(r.coordinator.HandleGrant(now, from.Gateway, m))
 	case *arbiter.Contested:
-		r.arbiter.Answered(from.Gateway)
+		if r.coordinator.Awaits(from.Gateway, m.Job, m.Number) {
+			r.arbiter.Answered(from.Gateway)
+		}
 		r.perform(r.coordinator.HandleContested(from.Gateway, m))
 	case *arbiter.Recall:
 		r.perform(r.coordinator.HandleRecall(now, from.Gateway, m))
--- a/internal/transient/arbiter/arbiter.go
+++ b/internal/transient/arbiter/arbiter.go
@@ -44,18 +44,21 @@
 	incarnation identifier.Incarnation
 	// links is the number of open links. Either side may have dialled.
 	links int
-	// unanswered is the number of claims in a row that the gateway has not answered in time. Until
-	// suspendedUntil it is no arbiter.
-	unanswered     int
-	suspendedUntil time.Time
+	// unanswered is the number of claims in a row that the gateway has not answered in time, and
+	// unansweredSince when the first of them was noticed. Until suspendedUntil it is no arbiter.
+	unanswered      int
+	unansweredSince time.Time
+	suspendedUntil  time.Time
 }
 
 const (
 	// maxUnanswered is the number of claims in a row after which a gateway that does not answer them
-	// is suspended, and suspension is for how long. It may be short of processor time or cut off,
-	// and the others notice that as well.
+	// is suspended, if they span minUnanswered: claims of the same moment may meet a single pause.
+	// Such a gateway is short of processor time or cut off, and the others notice that as well.
 	maxUnanswered = 3
-	suspension    = 2 * time.Second
+	minUnanswered = 100 * time.Millisecond
+	// suspension is how long a gateway is suspended.
+	suspension = 2 * time.Second
 )
 
 // record is what is known of a job.
@@ -141,7 +144,7 @@
 	return []identifier.Entry{best}
 }
 
-// Answered records that a gateway has answered a claim.
+// Answered records that a gateway has answered a claim in time.
 func (a *Arbiter) Answered(gateway identifier.Entry) {
 	if p := a.peers[gateway]; p != nil {
 		p.unanswered = 0
@@ -155,7 +158,10 @@
 	if p == nil || now.Before(p.suspendedUntil) {
 		return false
 	}
-	if p.unanswered++; p.unanswered < maxUnanswered {
+	if p.unanswered == 0 {
+		p.unansweredSince = now
+	}
+	if p.unanswered++; p.unanswered < maxUnanswered || now.Sub(p.unansweredSince) < minUnanswered {
 		return false
 	}
 	p.unanswered, p.suspendedUntil = 0, now.Add(suspension)
--- a/internal/transient/coordinator/claims.go
+++ b/internal/transient/coordinator/claims.go
@@ -126,13 +126,19 @@
 	return nil
 }
 
+// Awaits reports whether an answer of an arbiter to a claim is awaited, so that it has come in time.
+func (c *Coordinator) Awaits(from identifier.Entry, id specifier.JobID, number uint64) bool {
+	j := c.claimedJob(id, number)
+	return j != nil && j.claim.waits() && j.claim.arbiter() == from
+}
+
 // HandleGrant asks the next arbiter of a job, or starts its tasks after the last one.
 func (c *Coordinator) HandleGrant(now time.Time, from identifier.Entry, m *arbiter.Grant) []Effect {
-	j := c.claimedJob(m.Job, m.Number)
-	switch {
-	case j == nil || !j.claim.waits() || j.claim.arbiter() != from:
+	if !c.Awaits(from, m.Job, m.Number) {
 		return nil
-	case len(j.claim.next) > 0:
+	}
+	j := c.jobs[m.Job]
+	if len(j.claim.next) > 0 {
 		return []Effect{c.askFirst(now, j, j.claim.next)}
 	}
 	c.settleClaim(now, j, granted)
--- a/internal/transient/simulator/peers_test.go
+++ b/internal/transient/simulator/peers_test.go
@@ -280,10 +280,14 @@
 	case *arbiter.Yield:
 		decisions = g.arbiter.HandleYield(from, m)
 	case *arbiter.Grant:
-		g.arbiter.Answered(from.Gateway)
+		if g.coordinator.Awaits(from.Gateway, m.Job, m.Number) {
+			g.arbiter.Answered(from.Gateway)
+		}
 		g.perform(g.coordinator.HandleGrant(now, from.Gateway, m))
 	case *arbiter.Contested:
-		g.arbiter.Answered(from.Gateway)
+		if g.coordinator.Awaits(from.Gateway, m.Job, m.Number) {
+			g.arbiter.Answered(from.Gateway)
+		}
 		g.perform(g.coordinator.HandleContested(from.Gateway, m))
 	case *arbiter.Recall:
 		g.perform(g.coordinator.HandleRecall(now, from.Gateway, m))
