--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -322,6 +322,9 @@
 					l.sendToGateway(e.Message)
 				}
 			}
+			if m, ok := e.Message.(*executor.Ended); ok && m.Outcome == executor.Refused {
+				a.sim.refused++
+			}
 		case executor.CloseLink:
 			for _, g := range a.sim.gateways {
 				if l := a.links[g]; l != nil && g.name == e.To {
@@ -330,9 +333,6 @@
 			}
 		case executor.RunEnded:
 			a.sim.logf("%s takes %s of %s as over: %s %s, %s, evidence %s old", a.name, e.Ended.Run, e.Gateway, e.Ended.Outcome, e.Ended.Reason, e.Evidence.Ground, e.Evidence.Age)
-			if e.Ended.Outcome == executor.Refused {
-				a.sim.refused++
-			}
 		case executor.EndedRunListed:
 			a.sim.violate("worker %s lists %s, which was taken as over %s before by %s, evidence %s old, same_incarnation=%t", a.worker.id, e.Run, e.Ago, e.Evidence.Ground, e.Evidence.Age, e.SameIncarnation)
 		case executor.StartRun:
