--- a/internal/transient/simulator/contest_test.go
+++ b/internal/transient/simulator/contest_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dandeliongrade/dandeliongrade/internal/core/identifier"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/coordinator"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/executor"
 	"github.com/dandeliongrade/dandeliongrade/internal/transient/specifier"
@@ -12,16 +13,22 @@
 type contest struct {
 	// jobs holds the jobs that a gateway accepted while another one worked on them.
 	jobs map[specifier.JobID]bool
-	// starters holds the gateway that asked an agent for a run.
-	starters map[order]*gateway
+	// starters holds the process that asked an agent for a run.
+	starters map[order]process
 	// runs holds all runs of each task.
 	runs map[string][]*taskRun
-	// handedOver is set once a task has run under two gateways, and gap is then the shortest time from
+	// handedOver is set once a task has run under two processes, and gap is then the shortest time from
 	// the end of a run under one to the start of a run under the other. It is negative if they overlap.
 	handedOver bool
 	gap        time.Duration
 }
 
+// process is an incarnation of a gateway. Two of one gateway are two owners of a job.
+type process struct {
+	gateway     *gateway
+	incarnation identifier.Incarnation
+}
+
 // order is a run at an agent.
 type order struct {
 	agent *agent
@@ -31,7 +38,7 @@
 // taskRun is a run of a task on a worker.
 type taskRun struct {
 	order
-	gateway *gateway
+	owner process
 	// startedAt and endedAt limit the run. endedAt is zero while it is active.
 	startedAt, endedAt time.Time
 }
@@ -39,9 +46,9 @@
 // ordered records that a gateway has asked an agent for a run.
 func (c *contest) ordered(g *gateway, a *agent, run executor.RunID) {
 	if c.starters == nil {
-		c.starters = make(map[order]*gateway)
+		c.starters = make(map[order]process)
 	}
-	c.starters[order{a, run}] = g
+	c.starters[order{a, run}] = process{g, g.incarnation}
 }
 
 // started records the start of a run.
@@ -50,9 +57,9 @@
 		c.runs = make(map[string][]*taskRun)
 	}
 	o, task := order{a, run}, taskOf(run)
-	next := &taskRun{order: o, gateway: c.starters[o], startedAt: now}
+	next := &taskRun{order: o, owner: c.starters[o], startedAt: now}
 	for _, r := range c.runs[task] {
-		if r.gateway != next.gateway && !r.endedAt.IsZero() {
+		if r.owner != next.owner && !r.endedAt.IsZero() {
 			c.measure(r, next)
 		}
 	}
@@ -68,7 +75,7 @@
 		}
 		r.endedAt = now
 		for _, next := range runs[i+1:] {
-			if next.gateway != r.gateway {
+			if next.owner != r.owner {
 				c.measure(r, next)
 			}
 		}
@@ -94,7 +101,8 @@
 	s.contest.jobs[id] = true
 }
 
-// worksOn reports whether a gateway other than g has a job open, or its runs of the job are active.
+// worksOn reports whether a process other than the present one of g has a job open, or its runs of the job
+// are active.
 func (s *simulation) worksOn(g *gateway, id specifier.JobID) bool {
 	for _, other := range s.gateways {
 		if other != g && other.up && other.coordinator.State(s.now, id) == coordinator.Running {
@@ -103,7 +111,7 @@
 	}
 	for _, a := range s.agents {
 		for run := range a.worker.running {
-			if a.worker.up && run.Job == id && s.contest.starters[order{a, run}] != g {
+			if a.worker.up && run.Job == id && s.contest.starters[order{a, run}] != (process{g, g.incarnation}) {
 				return true
 			}
 		}
