--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -157,6 +157,48 @@
 	return s
 }
 
+// TestLostGatewayHistories simulates histories in which connections of callers are cut, and gateways are
+// killed again and again, also shortly before a caller submits its job to another one. Agents are isolated or
+// stand still and workers answer no stops, so that runs outlive their gateways.
+func TestLostGatewayHistories(t *testing.T) {
+	testHistories(t, (*histories+14)/15, simulateLostGateways)
+}
+
+// simulateLostGateways simulates one history of TestLostGatewayHistories.
+func simulateLostGateways(seed uint64) *simulation {
+	s := newSimulation(seed, 3, 3)
+	s.network = network{lateCloses: 0.25, cuts: 0.1}
+	s.ordered = true
+	s.linkPeers(seed)
+	s.submitJobs(0)
+	for at := time.Duration(0); at < historyLength; at += time.Duration(s.random.IntN(800)) * time.Millisecond {
+		s.after(at, s.loseGateway)
+	}
+	s.finish()
+	return s
+}
+
+// loseGateway kills a gateway, or keeps runs alive whose gateway may be killed.
+func (s *simulation) loseGateway() {
+	g := s.gateways[s.random.IntN(len(s.gateways))]
+	a := s.agents[s.random.IntN(len(s.agents))]
+	d := time.Duration(s.random.IntN(2000)) * time.Millisecond
+	switch s.random.IntN(5) {
+	case 0, 1:
+		g.kill(s.random.IntN(2) == 0, 100*time.Millisecond+d/2)
+	case 2:
+		s.logf("fault %s isolated for %s", a.name, d)
+		s.isolate(&a.host, d)
+	case 3:
+		s.logf("fault %s freezes for %s", a.name, d)
+		a.freeze(d)
+	case 4:
+		s.logf("fault worker %s is slow and answers no stops for %s", a.worker.id, d)
+		a.worker.deaf, a.worker.slowness = true, deafSlowness
+		s.after(d, func() { a.worker.deaf, a.worker.slowness = false, 0 })
+	}
+}
+
 // submitAndFail submits the jobs of a history and injects its faults.
 func (s *simulation) submitAndFail(crashing int) {
 	s.submitJobs(crashing)
