--- a/internal/gateway/runner/claims.go
+++ b/internal/gateway/runner/claims.go
@@ -31,6 +31,11 @@
 	return a.r.arbiter.ArbitersOf(now, id)
 }
 
+// Linked reports whether a gateway can be reached.
+func (a arbiters) Linked(gateway identifier.Entry) bool {
+	return a.r.arbiter.Linked(gateway)
+}
+
 // self returns the identity of this process as a gateway.
 func (r *Runner) self() arbiter.Process {
 	return arbiter.Process{Gateway: r.settings.Name, Incarnation: r.incarnation}
--- a/internal/gateway/runner/links.go
+++ b/internal/gateway/runner/links.go
@@ -138,8 +138,8 @@
 			r.send(link.Link, &report)
 		}
 	}
-	r.arbiter.PeerLinked(now, link.process)
-	r.perform(r.coordinator.ArbitersChanged(now))
+	restarted := r.arbiter.PeerLinked(now, link.process)
+	r.perform(r.coordinator.ArbiterLinked(now, link.process.Gateway, restarted))
 	return id
 }
 
@@ -163,7 +163,6 @@
 	now := r.clock()
 	r.distribute(r.distributor.LinkClosed(now, id))
 	r.arbiter.PeerUnlinked(now, process)
-	r.perform(r.coordinator.ArbitersChanged(now))
 }
 
 // handlePeerMessage handles one message of another gateway.
--- a/internal/transient/arbiter/arbiter.go
+++ b/internal/transient/arbiter/arbiter.go
@@ -39,11 +39,15 @@
 	swept time.Time
 }
 
-// peer is a gateway that this one is linked to.
+// peer is a gateway that this one is or was linked to.
 type peer struct {
 	incarnation identifier.Incarnation
-	// links is the number of open links. Either side may have dialled.
-	links int
+	// links is the number of open links. Either side may have dialled. unlinkedAt is when the last of
+	// them ended.
+	links      int
+	unlinkedAt time.Time
+	// eligible is set while the gateway counts as an arbiter.
+	eligible bool
 	// unanswered is the number of claims in a row that the gateway has not answered in time, and
 	// unansweredSince when the first of them was noticed. Until suspendedUntil it is no arbiter.
 	unanswered      int
@@ -59,8 +63,18 @@
 	minUnanswered = 100 * time.Millisecond
 	// suspension is how long a gateway is suspended.
 	suspension = 2 * time.Second
+	// RelinkTimeout is how long a gateway without a link remains an arbiter. Links that were reset are
+	// dialled again within that time, and claims wait for it meanwhile.
+	RelinkTimeout = 250 * time.Millisecond
+	// peerRetention is how long a gateway without a link is remembered.
+	peerRetention = time.Minute
 )
 
+// mayArbitrate reports whether the gateway counts as an arbiter.
+func (p *peer) mayArbitrate(now time.Time) bool {
+	return !now.Before(p.suspendedUntil) && (p.links > 0 || now.Sub(p.unlinkedAt) < RelinkTimeout)
+}
+
 // record is what is known of a job.
 type record struct {
 	holder claim
@@ -81,8 +95,9 @@
 	Message any
 }
 
-// PeerLinked records a link to another gateway.
-func (a *Arbiter) PeerLinked(now time.Time, p Process) {
+// PeerLinked records a link to another gateway. It reports whether the claims there are unknown to it,
+// because it has been started anew.
+func (a *Arbiter) PeerLinked(now time.Time, p Process) (restarted bool) {
 	if a.peers == nil {
 		a.peers = make(map[identifier.Entry]*peer)
 	}
@@ -91,14 +106,16 @@
 	case known == nil:
 	case known.incarnation == p.Incarnation:
 		known.links++
-		return
+		known.eligible = known.mayArbitrate(now)
+		delete(a.lost, p)
+		return false
 	case known.incarnation > p.Incarnation:
-		return
-	default:
+		return false
+	case known.links > 0:
 		a.noteLost(now, Process{p.Gateway, known.incarnation})
 	}
-	a.peers[p.Gateway] = &peer{incarnation: p.Incarnation, links: 1}
-	delete(a.lost, p)
+	a.peers[p.Gateway] = &peer{incarnation: p.Incarnation, links: 1, eligible: true}
+	return true
 }
 
 // PeerUnlinked records the end of a link to another gateway.
@@ -108,11 +125,17 @@
 		return
 	}
 	if known.links--; known.links == 0 {
-		delete(a.peers, p.Gateway)
+		known.unlinkedAt = now
 		a.noteLost(now, p)
 	}
 }
 
+// Linked reports whether a gateway is this one or linked to it.
+func (a *Arbiter) Linked(gateway identifier.Entry) bool {
+	known := a.peers[gateway]
+	return gateway == a.Self.Gateway || known != nil && known.links > 0
+}
+
 // noteLost records when the last link to a process ended.
 func (a *Arbiter) noteLost(now time.Time, p Process) {
 	if a.lost == nil {
@@ -122,13 +145,13 @@
 }
 
 // ArbitersOf returns the gateways that have to grant a claim of this one on a job, in the order in
-// which they are to be asked: the first by rank of those that it is linked to, and before that this
-// gateway itself if it ranks higher, because it is then the arbiter for the others. They ask the
-// former if they have suspended this gateway. There are none if it is linked to no other.
+// which they are to be asked: the first by rank of the others, and before that this gateway itself if
+// it ranks higher, because it is then the arbiter for the others. They ask the former if they have
+// suspended this gateway. There are none if this gateway knows no other.
 func (a *Arbiter) ArbitersOf(now time.Time, id specifier.JobID) []identifier.Entry {
 	best, bestRank := identifier.Entry(""), uint64(0)
 	for name, p := range a.peers {
-		if now.Before(p.suspendedUntil) {
+		if !p.mayArbitrate(now) {
 			continue
 		}
 		if r := rank(name, id); best == "" || r > bestRank || r == bestRank && name > best {
@@ -164,7 +187,7 @@
 	if p.unanswered++; p.unanswered < maxUnanswered || now.Sub(p.unansweredSince) < minUnanswered {
 		return false
 	}
-	p.unanswered, p.suspendedUntil = 0, now.Add(suspension)
+	p.unanswered, p.suspendedUntil, p.eligible = 0, now.Add(suspension), false
 	return true
 }
 
@@ -245,7 +268,7 @@
 		return true
 	}
 	known := a.peers[p.Gateway]
-	return known != nil && known.incarnation == p.Incarnation
+	return known != nil && known.incarnation == p.Incarnation && known.links > 0
 }
 
 // expired reports whether no claim on the job is valid any more.
@@ -256,21 +279,22 @@
 // sweepInterval is the time between two removals of expired records.
 const sweepInterval = time.Second
 
-// Tick removes what has expired, and reports whether a gateway is no longer suspended.
+// Tick removes what has expired, and reports whether jobs may have other arbiters than before.
 func (a *Arbiter) Tick(now time.Time) bool {
-	resumed := false
+	changed := false
 	for _, p := range a.peers {
-		if !p.suspendedUntil.IsZero() && !now.Before(p.suspendedUntil) {
-			p.suspendedUntil, resumed = time.Time{}, true
+		if eligible := p.mayArbitrate(now); eligible != p.eligible {
+			p.eligible, changed = eligible, true
 		}
 	}
 	if now.Sub(a.swept) < sweepInterval {
-		return resumed
+		return changed
 	}
 	a.swept = now
 	maps.DeleteFunc(a.records, func(_ specifier.JobID, r *record) bool { return r.expired(now) })
 	maps.DeleteFunc(a.lost, func(_ Process, at time.Time) bool { return now.Sub(at) >= executor.RunsOverAfter })
-	return resumed
+	maps.DeleteFunc(a.peers, func(_ identifier.Entry, p *peer) bool { return p.links == 0 && now.Sub(p.unlinkedAt) >= peerRetention })
+	return changed
 }
 
 // Claims returns the number of jobs with a claim.
--- a/internal/transient/arbiter/arbiter_test.go
+++ b/internal/transient/arbiter/arbiter_test.go
@@ -30,7 +30,7 @@
 	}
 	switch words[0] {
 	case "link":
-		a.PeerLinked(now, process())
+		return fmt.Sprintf("restarted=%t", a.PeerLinked(now, process()))
 	case "unlink":
 		a.PeerUnlinked(now, process())
 	case "answered":
@@ -49,8 +49,8 @@
 	case "yield":
 		return format(a.HandleYield(process(), &Yield{Job: specifier.JobID(words[3]), Number: uint64(scripter.Number(t, words[4]))}))
 	case "tick":
-		resumed := a.Tick(now)
-		return fmt.Sprintf("%d claims, resumed=%t", a.Claims(), resumed)
+		changed := a.Tick(now)
+		return fmt.Sprintf("%d claims, changed=%t", a.Claims(), changed)
 	default:
 		t.Fatalf("unknown command %q", words[0])
 	}
--- a/internal/transient/coordinator/claims.go
+++ b/internal/transient/coordinator/claims.go
@@ -14,6 +14,8 @@
 	// ArbitersOf returns the gateways that have to grant a claim on a job, in the order in which
 	// they are to be asked. Without any, its tasks are started without asking.
 	ArbitersOf(now time.Time, id specifier.JobID) []identifier.Entry
+	// Linked reports whether a gateway can be reached.
+	Linked(gateway identifier.Entry) bool
 }
 
 const (
@@ -182,6 +184,22 @@
 	return append(c.end(now, j, Answer{State: Unfinished}, CauseRecalled), c.place(now)...)
 }
 
+// ArbiterLinked handles a new link to a gateway. Claims that wait for it are sent again, because they
+// may have been lost. If the gateway was restarted, so are those that it has granted.
+func (c *Coordinator) ArbiterLinked(now time.Time, name identifier.Entry, restarted bool) []Effect {
+	var effects []Effect
+	for _, j := range c.sortedJobs() {
+		switch {
+		case j.ended:
+		case j.claim.waits() && j.claim.arbiter() == name:
+			effects = append(effects, c.sendClaim(now, j, name))
+		case restarted && !j.claim.waits():
+			j.claim.asked = slices.DeleteFunc(j.claim.asked, func(a identifier.Entry) bool { return a == name })
+		}
+	}
+	return append(effects, c.ArbitersChanged(now)...)
+}
+
 // ArbitersChanged claims the open jobs that have other arbiters now, who do not know of them.
 func (c *Coordinator) ArbitersChanged(now time.Time) []Effect {
 	var effects []Effect
@@ -213,9 +231,12 @@
 }
 
 // claimWait returns how long a claim may be unanswered.
-func (c *Coordinator) claimWait(now time.Time) time.Duration {
-	if now.Before(c.slowUntil) {
+func (c *Coordinator) claimWait(now time.Time, m *claim) time.Duration {
+	switch {
+	case now.Before(c.slowUntil):
 		return slowClaimTimeout
+	case !c.Arbiters.Linked(m.arbiter()):
+		return arbiter.RelinkTimeout
 	}
 	return claimTimeout
 }
@@ -224,7 +245,7 @@
 func (c *Coordinator) tickClaim(now time.Time, j *job) []Effect {
 	waited := now.Sub(j.claim.sent)
 	switch {
-	case j.claim.state == claimed && waited >= c.claimWait(now):
+	case j.claim.state == claimed && waited >= c.claimWait(now, &j.claim):
 		c.settleClaim(now, j, assumed)
 		return []Effect{ClaimEvent{Name: EventClaimUnanswered, Job: j.ID, Arbiter: j.claim.arbiter(), State: j.claim.state.String()}}
 	case j.claim.state == contested && waited >= claimInterval:
--- a/internal/transient/coordinator/coordinator_test.go
+++ b/internal/transient/coordinator/coordinator_test.go
@@ -43,6 +43,11 @@
 	return d.arbiters
 }
 
+// Linked reports whether a gateway is not called off.
+func (d *driver) Linked(gateway identifier.Entry) bool {
+	return gateway != "off"
+}
+
 // claimNumber returns the number of the claim that a script calls number: claims are numbered from 1 in
 // scripts, and by the time of day otherwise.
 func claimNumber(t *testing.T, word string) uint64 {
@@ -75,6 +80,7 @@
 //	ended AGENT TASK OUTCOME [reason=R] [took=D]
 //	crash AGENT STARTED [TASK]...; report AGENT STARTED [TASK]...
 //	arbiters [GATEWAY]... (changes the arbiters of all jobs)
+//	arbiter_linked GATEWAY [restarted]
 //	grant GATEWAY JOB NUMBER; contested GATEWAY JOB NUMBER; recall GATEWAY JOB NUMBER
 func (d *driver) step(t *testing.T, now time.Time, words []string) string {
 	args, options := split(words[1:])
@@ -139,6 +145,8 @@
 			d.arbiters = append(d.arbiters, identifier.Entry(w))
 		}
 		effects = d.c.ArbitersChanged(now)
+	case "arbiter_linked":
+		effects = d.c.ArbiterLinked(now, identifier.Entry(args[0]), args[1] == "restarted")
 	case "grant":
 		effects = d.c.HandleGrant(now, identifier.Entry(args[0]), &arbiter.Grant{Job: specifier.JobID(args[1]), Number: claimNumber(t, args[2])})
 	case "contested":
--- a/internal/transient/simulator/peers_test.go
+++ b/internal/transient/simulator/peers_test.go
@@ -253,15 +253,14 @@
 func (g *gateway) peerLinked(now time.Time, name identifier.Entry, incarnation identifier.Incarnation) {
 	g.sim.logf("%s linked to peer %s %d", g.name, name, incarnation)
 	g.peerIncarnations[name] = incarnation
-	g.arbiter.PeerLinked(now, arbiter.Process{Gateway: name, Incarnation: incarnation})
-	g.perform(g.coordinator.ArbitersChanged(now))
+	restarted := g.arbiter.PeerLinked(now, arbiter.Process{Gateway: name, Incarnation: incarnation})
+	g.perform(g.coordinator.ArbiterLinked(now, name, restarted))
 }
 
 // peerUnlinked handles the end of the link to another gateway.
 func (g *gateway) peerUnlinked(name identifier.Entry) {
 	g.sim.logf("%s unlinked from peer %s", g.name, name)
 	g.arbiter.PeerUnlinked(g.sim.now, arbiter.Process{Gateway: name, Incarnation: g.peerIncarnations[name]})
-	g.perform(g.coordinator.ArbitersChanged(g.sim.now))
 }
 
 // receivePeer handles a message of another gateway.
