--- a/internal/transient/coordinator/agents.go
+++ b/internal/transient/coordinator/agents.go
@@ -276,6 +276,10 @@
 	if m.Outcome == executor.Refused {
 		event.Cause = string(m.Reason)
 	}
+	t.other = otherRun{}
+	if m.Outcome == executor.Refused && m.Reason == executor.Duplicate {
+		t.noteDuplicate(now, a.name)
+	}
 	if m.Outcome == executor.Failed {
 		t.failures++
 		if t.failures >= j.Queue.MaxAttempts {
--- a/internal/transient/coordinator/coordinator.go
+++ b/internal/transient/coordinator/coordinator.go
@@ -100,6 +100,8 @@
 	failures int
 	// avoidAgent is the agent at which the last run of the task was lost.
 	avoidAgent identifier.Agent
+	// other is set while a run of the task that this gateway has not started may be at an agent.
+	other otherRun
 }
 
 // pauseLimit is the longest time between two ticks after which the state of this
--- a/internal/transient/coordinator/placement.go
+++ b/internal/transient/coordinator/placement.go
@@ -123,8 +123,8 @@
 }
 
 // placeJob starts pending tasks of a job until no agent has the capacity for the next one, and
-// reports whether that is so. Suspects that have to wait for other suspects do not hold up the
-// tasks behind them. It starts nothing and reports left if the caller of the job has left.
+// reports whether that is so. Suspects that have to wait for other suspects, and tasks that have to
+// wait for another run, do not hold up the tasks behind them. It starts nothing and reports left if the caller of the job has left.
 func (c *Coordinator) placeJob(now time.Time, j *job) (effects []Effect, full, left bool) {
 	var held []int
 	var lanes []*agent
@@ -133,13 +133,14 @@
 		lanes = c.lanesFor(j)
 	}
 	for i, index := range j.pending {
-		a := c.chooseAgent(now, j, index, func(a *agent) bool { return !confined || slices.Contains(lanes, a) })
+		t := &j.tasks[index]
+		a := c.chooseAgent(now, j, index, func(a *agent) bool { return c.allows(now, t, a.name) && (!confined || slices.Contains(lanes, a)) })
 		switch {
 		case a != nil && len(effects) == 0 && !c.callerWaits(j):
 			return nil, false, true
 		case a != nil:
 			effects = append(effects, c.startTask(now, a, j, index))
-		case c.suspected(j, index):
+		case c.suspected(j, index), c.held(now, t):
 			held = append(held, index)
 		default:
 			j.pending = append(held, j.pending[i:]...)
