--- a/internal/transient/coordinator/agents.go
+++ b/internal/transient/coordinator/agents.go
@@ -232,7 +232,7 @@
 		c.clearTask(now, j, m.Run.Index)
 	}
 	if !stopping || m.Outcome == executor.Done {
-		a.health.runEnded(now, m, j.expectedRun)
+		a.health.runEnded(now, t.startSent, m, j.expectedRun)
 	}
 	if j.ended {
 		c.removeFinished(j)
--- a/internal/transient/coordinator/health.go
+++ b/internal/transient/coordinator/health.go
@@ -11,8 +11,8 @@
 type health struct {
 	// failures is the number of consecutive signs of failure.
 	failures int
-	// backoffUntil is when the worker may get work again.
-	backoffUntil time.Time
+	// backedOffAt is when the last backoff began, backoffUntil when the worker may get work again.
+	backedOffAt, backoffUntil time.Time
 }
 
 const (
@@ -46,11 +46,13 @@
 }
 
 // runEnded records the end of a run that was not stopped by this gateway, or that
-// succeeded all the same.
-func (h *health) runEnded(now time.Time, m *executor.Ended, expected time.Duration) {
+// succeeded all the same. Runs that were started before the last backoff are not signs of failure
+// after it: a burst of starts without an answer would back off the worker for maxBackoff at once.
+func (h *health) runEnded(now, startSent time.Time, m *executor.Ended, expected time.Duration) {
 	switch {
 	case m.Outcome == executor.Done && m.Took <= overdueFactor*expected:
 		*h = health{}
+	case !startSent.After(h.backedOffAt):
 	case m.Outcome == executor.Failed, m.Outcome == executor.Refused && m.Reason == executor.Unanswered:
 		h.noteFailure(now)
 	}
@@ -61,7 +63,7 @@
 	h.failures++
 	if h.failures >= backoffThreshold {
 		backoff := initialBackoff << min(h.failures-backoffThreshold, 4)
-		h.backoffUntil = now.Add(min(backoff, maxBackoff))
+		h.backedOffAt, h.backoffUntil = now, now.Add(min(backoff, maxBackoff))
 	}
 }
 
