--- a/internal/transient/coordinator/health.go
+++ b/internal/transient/coordinator/health.go
@@ -52,12 +52,18 @@
 	switch {
 	case m.Outcome == executor.Done && m.Took <= overdueFactor*expected:
 		*h = health{}
-	case !startSent.After(h.backedOffAt):
+	case !h.isNews(startSent):
 	case m.Outcome == executor.Failed, m.Outcome == executor.Refused && m.Reason == executor.Unanswered:
 		h.noteFailure(now)
 	}
 }
 
+// isNews reports whether a run tells something of the worker that was not known at the last
+// backoff, because it was started after that.
+func (h *health) isNews(startSent time.Time) bool {
+	return startSent.After(h.backedOffAt)
+}
+
 // noteFailure counts a sign of failure and starts a backoff at the threshold.
 func (h *health) noteFailure(now time.Time) {
 	h.failures++
@@ -85,7 +91,8 @@
 }
 
 // checkOverdue backs off from workers on which most runs are overdue, since these hang or
-// are slow. Runs that hang are stopped, so that they are retried elsewhere.
+// are slow. Runs that hang are stopped, so that they are retried elsewhere. Long runs that
+// have backed off their worker before do not keep work away from it for as long as they last.
 func (c *Coordinator) checkOverdue(now time.Time) []Effect {
 	var effects []Effect
 	for _, a := range c.sortedAgents() {
@@ -96,6 +103,10 @@
 		if len(overdue) < a.health.minOverdue() || 2*len(overdue) <= len(a.runs) {
 			continue
 		}
+		newest := overdue[len(overdue)-1]
+		if !a.health.isNews(a.runs[newest].tasks[newest.Index].startSent) {
+			continue
+		}
 		a.health.noteStall(now)
 		effects = append(effects, LogEvent{Name: EventWorkerStalled, Run: overdue[0], Agent: a.name, Cause: "most_runs_overdue", SinceHeard: now.Sub(a.lastHeard)})
 	}
