--- a/internal/transient/coordinator/claims.go
+++ b/internal/transient/coordinator/claims.go
@@ -190,7 +190,7 @@
 	var effects []Effect
 	for _, j := range c.sortedJobs() {
 		switch {
-		case j.ended:
+		case j.ended && j.claim.waits():
 		case j.claim.waits() && j.claim.arbiter() == name:
 			effects = append(effects, c.sendClaim(now, j, name))
 		case restarted && !j.claim.waits():
@@ -200,11 +200,12 @@
 	return append(effects, c.ArbitersChanged(now)...)
 }
 
-// ArbitersChanged claims the open jobs that have other arbiters now, who do not know of them.
+// ArbitersChanged claims the jobs that have other arbiters now, who do not know of them. Those that have
+// ended count while their runs go on.
 func (c *Coordinator) ArbitersChanged(now time.Time) []Effect {
 	var effects []Effect
 	for _, j := range c.sortedJobs() {
-		if j.ended || j.claim.state == unclaimed {
+		if j.claim.state == unclaimed || j.ended && j.claim.waits() {
 			continue
 		}
 		arbiters := c.Arbiters.ArbitersOf(now, j.ID)
