--- a/internal/gateway/runner/links.go
+++ b/internal/gateway/runner/links.go
@@ -138,8 +138,11 @@
 			r.send(link.Link, &report)
 		}
 	}
-	r.arbiter.PeerLinked(now, link.process)
-	r.perform(r.coordinator.ArbitersChanged(now))
+	if r.arbiter.PeerLinked(now, link.process) {
+		r.perform(r.coordinator.ArbiterLost(now, link.process.Gateway))
+	} else {
+		r.perform(r.coordinator.ArbitersChanged(now))
+	}
 	return id
 }
 
@@ -163,7 +166,7 @@
 	now := r.clock()
 	r.distribute(r.distributor.LinkClosed(now, id))
 	r.arbiter.PeerUnlinked(now, process)
-	r.perform(r.coordinator.ArbitersChanged(now))
+	r.perform(r.coordinator.ArbiterLost(now, process.Gateway))
 }
 
 // handlePeerMessage handles one message of another gateway.
--- a/internal/transient/arbiter/arbiter.go
+++ b/internal/transient/arbiter/arbiter.go
@@ -81,8 +81,9 @@
 	Message any
 }
 
-// PeerLinked records a link to another gateway.
-func (a *Arbiter) PeerLinked(now time.Time, p Process) {
+// PeerLinked records a link to another gateway. It reports whether that is another process than the one
+// that was linked, whose links have not ended yet.
+func (a *Arbiter) PeerLinked(now time.Time, p Process) bool {
 	if a.peers == nil {
 		a.peers = make(map[identifier.Entry]*peer)
 	}
@@ -91,14 +92,15 @@
 	case known == nil:
 	case known.incarnation == p.Incarnation:
 		known.links++
-		return
+		return false
 	case known.incarnation > p.Incarnation:
-		return
+		return false
 	default:
 		a.noteLost(now, Process{p.Gateway, known.incarnation})
 	}
 	a.peers[p.Gateway] = &peer{incarnation: p.Incarnation, links: 1}
 	delete(a.lost, p)
+	return known != nil
 }
 
 // PeerUnlinked records the end of a link to another gateway.
--- a/internal/transient/coordinator/claims.go
+++ b/internal/transient/coordinator/claims.go
@@ -182,11 +182,26 @@
 	return append(c.end(now, j, Answer{State: Unfinished}, CauseRecalled), c.place(now)...)
 }
 
-// ArbitersChanged claims the open jobs that have other arbiters now, who do not know of them.
+// ArbiterLost handles the end of a link to an arbiter, or another incarnation of it: it may not have
+// received the claims that were sent to it, or know of them no longer. They are sent again.
+func (c *Coordinator) ArbiterLost(now time.Time, name identifier.Entry) []Effect {
+	var effects []Effect
+	for _, j := range c.sortedJobs() {
+		awaited := j.claim.waits() && j.claim.arbiter() == name
+		j.claim.asked = slices.DeleteFunc(j.claim.asked, func(a identifier.Entry) bool { return a == name })
+		if arbiters := c.Arbiters.ArbitersOf(now, j.ID); awaited && len(arbiters) > 0 {
+			effects = append(effects, c.askFirst(now, j, arbiters))
+		}
+	}
+	return append(effects, c.ArbitersChanged(now)...)
+}
+
+// ArbitersChanged claims the jobs that have other arbiters now, who do not know of them. Those that have
+// ended may still have runs.
 func (c *Coordinator) ArbitersChanged(now time.Time) []Effect {
 	var effects []Effect
 	for _, j := range c.sortedJobs() {
-		if j.ended || j.claim.state == unclaimed {
+		if j.claim.state == unclaimed {
 			continue
 		}
 		arbiters := c.Arbiters.ArbitersOf(now, j.ID)
--- a/internal/transient/coordinator/coordinator_test.go
+++ b/internal/transient/coordinator/coordinator_test.go
@@ -75,6 +75,7 @@
 //	ended AGENT TASK OUTCOME [reason=R] [took=D]
 //	crash AGENT STARTED [TASK]...; report AGENT STARTED [TASK]...
 //	arbiters [GATEWAY]... (changes the arbiters of all jobs)
+//	arbiter_lost GATEWAY
 //	grant GATEWAY JOB NUMBER; contested GATEWAY JOB NUMBER; recall GATEWAY JOB NUMBER
 func (d *driver) step(t *testing.T, now time.Time, words []string) string {
 	args, options := split(words[1:])
@@ -139,6 +140,8 @@
 			d.arbiters = append(d.arbiters, identifier.Entry(w))
 		}
 		effects = d.c.ArbitersChanged(now)
+	case "arbiter_lost":
+		effects = d.c.ArbiterLost(now, identifier.Entry(args[0]))
 	case "grant":
 		effects = d.c.HandleGrant(now, identifier.Entry(args[0]), &arbiter.Grant{Job: specifier.JobID(args[1]), Number: claimNumber(t, args[2])})
 	case "contested":
--- a/internal/transient/simulator/peers_test.go
+++ b/internal/transient/simulator/peers_test.go
@@ -261,7 +261,7 @@
 func (g *gateway) peerUnlinked(name identifier.Entry) {
 	g.sim.logf("%s unlinked from peer %s", g.name, name)
 	g.arbiter.PeerUnlinked(g.sim.now, arbiter.Process{Gateway: name, Incarnation: g.peerIncarnations[name]})
-	g.perform(g.coordinator.ArbitersChanged(g.sim.now))
+	g.perform(g.coordinator.ArbiterLost(g.sim.now, name))
 }
 
 // receivePeer handles a message of another gateway.
