--- a/internal/transient/arbiter/arbiter.go
+++ b/internal/transient/arbiter/arbiter.go
@@ -196,7 +196,7 @@
 		}
 		r.holder = c
 		return append(effects, grant(m.Job, &c))
-	case m.Renewal:
+	case m.Renewal && !r.precedes(&c):
 		return []Send{recall(m.Job, &c)}
 	}
 	var effects []Send
@@ -207,6 +207,12 @@
 	return append(effects, a.settle(now, m.Job, r)...)
 }
 
+// precedes reports whether all claims on the job were made before c, which another arbiter may have granted
+// meanwhile. Numbers follow the clock, and callers come again a second or more later.
+func (r *record) precedes(c *claim) bool {
+	return r.holder.number < c.number && (r.next == nil || r.next.number < c.number || r.next.by == c.by)
+}
+
 // settle grants the next claim of a job if the holder cannot have runs any more, and recalls the
 // holder otherwise.
 func (a *Arbiter) settle(now time.Time, id specifier.JobID, r *record) []Send {
