--- a/internal/transient/simulator/contest_test.go
+++ b/internal/transient/simulator/contest_test.go
@@ -20,6 +20,9 @@
 	// the end of a run under one to the start of a run under the other. It is negative if they overlap.
 	handedOver bool
 	gap        time.Duration
+	// recalledInVain counts the jobs that were ended in favour of another gateway although their callers
+	// waited, and had not submitted them again.
+	recalledInVain int
 }
 
 // order is a run at an agent.
--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -58,7 +58,7 @@
 // testHistories simulates histories and reports those that violate an invariant.
 func testHistories(t *testing.T, histories int, simulate func(seed uint64) *simulation) {
 	starts, completed, notRun, overrun := 0, 0, 0, time.Duration(0)
-	contested, handedOver, gap := 0, 0, time.Duration(math.MaxInt64)
+	contested, recalledInVain, handedOver, gap := 0, 0, 0, time.Duration(math.MaxInt64)
 	for seed := *firstSeed; seed < *firstSeed+uint64(histories); seed++ {
 		s := simulate(seed)
 		starts += s.starts
@@ -66,6 +66,7 @@
 		notRun += s.notRun
 		overrun = max(overrun, s.longestOverrun)
 		contested += len(s.contest.jobs)
+		recalledInVain += s.contest.recalledInVain
 		if s.contest.handedOver {
 			handedOver++
 			gap = min(gap, s.contest.gap)
@@ -80,6 +81,7 @@
 		}
 	}
 	t.Logf("%d histories: %d starts, %d jobs completed, %d answered not_run, runs end at most %s after their callers have left", histories, starts, completed, notRun, overrun)
+	t.Logf("%d jobs were ended in favour of another gateway although their callers waited", recalledInVain)
 	t.Logf("%d jobs were accepted by a gateway while another one worked on them; in %d histories a task ran under two gateways, and the second run started at the earliest %s after the end of the first", contested, handedOver, gap)
 	assert.Assert(t, completed > histories, "too few jobs completed for the result to be meaningful")
 }
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -170,6 +170,9 @@
 		case coordinator.Reply:
 			g.sim.logf("%s answers %s %s %s", g.name, e.Job, e.Answer.State, e.Cause)
 			if sub := g.callers[e.Job]; sub != nil {
+				if e.Cause == coordinator.CauseRecalled && !sub.ended {
+					g.sim.contest.recalledInVain++
+				}
 				delete(g.callers, e.Job)
 				sub.answered(e.Answer)
 			}
