--- a/internal/transient/arbiter/arbiter.go
+++ b/internal/transient/arbiter/arbiter.go
@@ -188,6 +188,8 @@
 	case r == nil || r.expired(now):
 		a.records[m.Job] = &record{holder: c}
 		return []Send{grant(m.Job, &c)}
+	case r.overtaken(&c):
+		return nil
 	case r.holder.by == from:
 		var effects []Send
 		if r.next != nil && r.holder.number != m.Number {
@@ -213,6 +215,11 @@
 	return r.holder.number < c.number && (r.next == nil || r.next.number < c.number || r.next.by == c.by)
 }
 
+// overtaken reports whether a later claim of the same process has arrived before c, on another link.
+func (r *record) overtaken(c *claim) bool {
+	return r.holder.by == c.by && r.holder.number > c.number || r.next != nil && r.next.by == c.by && r.next.number > c.number
+}
+
 // settle grants the next claim of a job if the holder cannot have runs any more, and recalls the
 // holder otherwise.
 func (a *Arbiter) settle(now time.Time, id specifier.JobID, r *record) []Send {
