--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -74,6 +74,9 @@
 	lastPeer distributor.LinkID
 	// callers holds, for each job, the caller that waits for its answer.
 	callers callers
+	// effects holds what perform carries out while performing is set.
+	effects    []coordinator.Effect
+	performing bool
 	// firstManifest is closed when the first manifest has been adopted.
 	firstManifest chan struct{}
 	// idle receives a token when the last open job has been answered.
@@ -156,25 +159,40 @@
 }
 
 // perform carries out the effects of a decision. The caller holds the lock, so that
-// messages are sent in the order of the decisions.
+// messages are sent in the order of the decisions. An effect may lead to a decision of its own; the
+// effects of that one follow those that are left.
 func (r *Runner) perform(effects []coordinator.Effect) {
-	for _, e := range effects {
-		switch e := e.(type) {
-		case coordinator.Send:
-			r.send(r.agentLinks[e.To], e.Message)
-		case coordinator.SendGateway:
-			r.sendGateway(r.clock(), e.To, e.Message)
-		case coordinator.CloseLink:
-			r.closeLink(&e)
-		case coordinator.PassOn:
-			r.passOn(e.Report)
-		case coordinator.Reply:
-			r.reply(&e)
-		case coordinator.ClaimEvent:
-			r.handleClaimEvent(r.clock(), &e)
-		case coordinator.LogEvent:
-			r.logEvent(&e)
-		}
+	r.effects = append(r.effects, effects...)
+	if r.performing {
+		return
+	}
+	r.performing = true
+	defer func() {
+		clear(r.effects)
+		r.effects, r.performing = r.effects[:0], false
+	}()
+	for i := 0; i < len(r.effects); i++ {
+		r.carryOut(r.effects[i])
+	}
+}
+
+// carryOut carries out one effect.
+func (r *Runner) carryOut(e coordinator.Effect) {
+	switch e := e.(type) {
+	case coordinator.Send:
+		r.send(r.agentLinks[e.To], e.Message)
+	case coordinator.SendGateway:
+		r.sendGateway(r.clock(), e.To, e.Message)
+	case coordinator.CloseLink:
+		r.closeLink(&e)
+	case coordinator.PassOn:
+		r.passOn(e.Report)
+	case coordinator.Reply:
+		r.reply(&e)
+	case coordinator.ClaimEvent:
+		r.handleClaimEvent(r.clock(), &e)
+	case coordinator.LogEvent:
+		r.logEvent(&e)
 	}
 }
 
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -26,6 +26,9 @@
 	peers            map[identifier.Entry]*peerConnection
 	peerIncarnations map[identifier.Entry]identifier.Incarnation
 	arbiter          *arbiter.Arbiter
+	// effects holds what perform carries out while performing is set.
+	effects    []coordinator.Effect
+	performing bool
 }
 
 // boot starts the gateway as a new incarnation that knows nothing of the earlier one.
@@ -144,38 +147,51 @@
 	}
 }
 
-// perform carries out the effects of the coordinator.
+// perform carries out the effects of the coordinator, in the order of the decisions.
 func (g *gateway) perform(effects []coordinator.Effect) {
-	for _, e := range effects {
-		switch e := e.(type) {
-		case coordinator.Send:
-			for _, a := range g.sim.agents {
-				if l := g.links[a]; l != nil && a.name == e.To {
-					l.sendToAgent(e.Message)
-				}
-			}
-		case coordinator.SendGateway:
-			g.sendClaimMessage(e.To, e.Message)
-		case coordinator.ClaimEvent:
-			g.sim.logf("%s %s %s %s", g.name, e.Name, e.Job, e.Arbiter)
-			if e.Name == coordinator.EventClaimUnanswered && g.arbiter.Unanswered(g.sim.now, e.Arbiter) {
-				g.perform(g.coordinator.ArbitersChanged(g.sim.now))
+	g.effects = append(g.effects, effects...)
+	if g.performing {
+		return
+	}
+	g.performing = true
+	for len(g.effects) > 0 {
+		e := g.effects[0]
+		g.effects = g.effects[1:]
+		g.carryOut(e)
+	}
+	g.performing = false
+}
+
+// carryOut carries out one effect.
+func (g *gateway) carryOut(e coordinator.Effect) {
+	switch e := e.(type) {
+	case coordinator.Send:
+		for _, a := range g.sim.agents {
+			if l := g.links[a]; l != nil && a.name == e.To {
+				l.sendToAgent(e.Message)
 			}
-		case coordinator.CloseLink:
-			for _, a := range g.sim.agents {
-				if l := g.links[a]; l != nil && a.name == e.To {
-					l.closeGatewayEnd()
-				}
+		}
+	case coordinator.SendGateway:
+		g.sendClaimMessage(e.To, e.Message)
+	case coordinator.ClaimEvent:
+		g.sim.logf("%s %s %s %s", g.name, e.Name, e.Job, e.Arbiter)
+		if e.Name == coordinator.EventClaimUnanswered && g.arbiter.Unanswered(g.sim.now, e.Arbiter) {
+			g.perform(g.coordinator.ArbitersChanged(g.sim.now))
+		}
+	case coordinator.CloseLink:
+		for _, a := range g.sim.agents {
+			if l := g.links[a]; l != nil && a.name == e.To {
+				l.closeGatewayEnd()
 			}
-		case coordinator.Reply:
-			g.sim.logf("%s answers %s %s %s", g.name, e.Job, e.Answer.State, e.Cause)
-			if sub := g.callers[e.Job]; sub != nil {
-				if e.Cause == coordinator.CauseRecalled && !sub.ended {
-					g.sim.contest.recalledInVain++
-				}
-				delete(g.callers, e.Job)
-				sub.answered(e.Answer)
+		}
+	case coordinator.Reply:
+		g.sim.logf("%s answers %s %s %s", g.name, e.Job, e.Answer.State, e.Cause)
+		if sub := g.callers[e.Job]; sub != nil {
+			if e.Cause == coordinator.CauseRecalled && !sub.ended {
+				g.sim.contest.recalledInVain++
 			}
+			delete(g.callers, e.Job)
+			sub.answered(e.Answer)
 		}
 	}
 }
