--- a/internal/gateway/runner/claims.go
+++ b/internal/gateway/runner/claims.go
@@ -31,6 +31,14 @@
 	return a.r.arbiter.ArbitersOf(now, id)
 }
 
+// SuspendedOf returns the suspended gateways that are to be told of a claim on a job.
+func (a arbiters) SuspendedOf(now time.Time, id specifier.JobID) []identifier.Entry {
+	if !a.r.linker.FullMesh() {
+		return nil
+	}
+	return a.r.arbiter.SuspendedOf(now, id)
+}
+
 // self returns the identity of this process as a gateway.
 func (r *Runner) self() arbiter.Process {
 	return arbiter.Process{Gateway: r.settings.Name, Incarnation: r.incarnation}
--- a/internal/gateway/runner/perform_test.go
+++ b/internal/gateway/runner/perform_test.go
@@ -27,6 +27,9 @@
 	return []identifier.Entry{a.r.settings.Name}
 }
 
+// SuspendedOf names no gateways.
+func (a firstOrSelf) SuspendedOf(time.Time, specifier.JobID) []identifier.Entry { return nil }
+
 // TestStopAfterStart lets a job start without its arbiter in the tick in which that one is suspended. The
 // next arbiter, this gateway, recalls the job. An agent that was told to stop the run before it is told to start it
 // would keep it.
--- a/internal/transient/arbiter/arbiter.go
+++ b/internal/transient/arbiter/arbiter.go
@@ -10,6 +10,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -146,6 +147,25 @@
 	return []identifier.Entry{best}
 }
 
+// SuspendedOf returns the gateways that this one has suspended and would ask for a claim on a job otherwise.
+// They are to be told of the claim, because other gateways may not have suspended them.
+func (a *Arbiter) SuspendedOf(now time.Time, id specifier.JobID) []identifier.Entry {
+	highest := uint64(0)
+	for name, p := range a.peers {
+		if !now.Before(p.suspendedUntil) {
+			highest = max(highest, rank(name, id))
+		}
+	}
+	var suspended []identifier.Entry
+	for name, p := range a.peers {
+		if now.Before(p.suspendedUntil) && rank(name, id) > highest {
+			suspended = append(suspended, name)
+		}
+	}
+	slices.Sort(suspended)
+	return suspended
+}
+
 // Answered records that a gateway has answered a claim in time.
 func (a *Arbiter) Answered(gateway identifier.Entry) {
 	if p := a.peers[gateway]; p != nil {
--- a/internal/transient/arbiter/arbiter_test.go
+++ b/internal/transient/arbiter/arbiter_test.go
@@ -40,7 +40,11 @@
 	case "arbiters":
 		var names []string
 		for _, id := range words[1:] {
-			names = append(names, fmt.Sprintf("%s: %v", id, a.ArbitersOf(now, specifier.JobID(id))))
+			line := fmt.Sprintf("%s: %v", id, a.ArbitersOf(now, specifier.JobID(id)))
+			if suspended := a.SuspendedOf(now, specifier.JobID(id)); len(suspended) > 0 {
+				line += fmt.Sprintf(", suspended %v", suspended)
+			}
+			names = append(names, line)
 		}
 		return strings.Join(names, "\n")
 	case "claim":
--- a/internal/transient/coordinator/claims.go
+++ b/internal/transient/coordinator/claims.go
@@ -14,6 +14,9 @@
 	// ArbitersOf returns the gateways that have to grant a claim on a job, in the order in which
 	// they are to be asked. Without any, its tasks are started without asking.
 	ArbitersOf(now time.Time, id specifier.JobID) []identifier.Entry
+	// SuspendedOf returns the gateways that are to be told of a claim on a job, and need not grant it:
+	// other gateways may ask them.
+	SuspendedOf(now time.Time, id specifier.JobID) []identifier.Entry
 }
 
 const (
@@ -101,8 +104,12 @@
 	}
 	// A number is not used again after a restart, as an answer to the earlier incarnation may be late.
 	c.lastClaim = max(c.lastClaim+1, uint64(now.UnixMicro()))
-	j.claim = claim{number: c.lastClaim, expires: j.deadline.Add(claimMargin)}
-	return []Effect{c.askFirst(now, j, arbiters)}
+	j.claim = claim{state: claimed, number: c.lastClaim, expires: j.deadline.Add(claimMargin)}
+	var effects []Effect
+	for _, name := range c.Arbiters.SuspendedOf(now, j.ID) {
+		effects = append(effects, c.sendClaim(now, j, name))
+	}
+	return append(effects, c.askFirst(now, j, arbiters))
 }
 
 // askFirst sends the claim on a job that waits to the first of its arbiters.
--- a/internal/transient/coordinator/coordinator_test.go
+++ b/internal/transient/coordinator/coordinator_test.go
@@ -36,6 +36,8 @@
 	permitSequence uint64
 	// arbiters holds the arbiters of all jobs.
 	arbiters []identifier.Entry
+	// suspended holds the gateways that are to be told of claims.
+	suspended []identifier.Entry
 }
 
 // ArbitersOf returns the arbiters of all jobs.
@@ -43,6 +45,11 @@
 	return d.arbiters
 }
 
+// SuspendedOf returns the gateways that are to be told of claims.
+func (d *driver) SuspendedOf(time.Time, specifier.JobID) []identifier.Entry {
+	return d.suspended
+}
+
 // claimNumber returns the number of the claim that a script calls number: claims are numbered from 1 in
 // scripts, and by the time of day otherwise.
 func claimNumber(t *testing.T, word string) uint64 {
@@ -75,7 +82,7 @@
 //	ended AGENT TASK OUTCOME [reason=R] [took=D]
 //	crash AGENT STARTED [TASK]...; report AGENT STARTED [TASK]...
 //	arbiters [GATEWAY]... (changes the arbiters of all jobs)
-//	arbiter_lost GATEWAY
+//	suspended [GATEWAY]... (are to be told of claims); arbiter_lost GATEWAY
 //	grant GATEWAY JOB NUMBER; contested GATEWAY JOB NUMBER; recall GATEWAY JOB NUMBER
 func (d *driver) step(t *testing.T, now time.Time, words []string) string {
 	args, options := split(words[1:])
@@ -140,6 +147,11 @@
 			d.arbiters = append(d.arbiters, identifier.Entry(w))
 		}
 		effects = d.c.ArbitersChanged(now)
+	case "suspended":
+		d.suspended = nil
+		for _, w := range words[1:] {
+			d.suspended = append(d.suspended, identifier.Entry(w))
+		}
 	case "arbiter_lost":
 		effects = d.c.ArbiterLost(now, identifier.Entry(args[0]))
 	case "grant":
