--- a/internal/gateway/runner/links.go
+++ b/internal/gateway/runner/links.go
@@ -138,8 +138,8 @@
 			r.send(link.Link, &report)
 		}
 	}
-	restarted := r.arbiter.PeerLinked(now, link.process)
-	r.perform(r.coordinator.ArbiterLinked(now, link.process.Gateway, restarted))
+	r.arbiter.PeerLinked(now, link.process)
+	r.perform(r.coordinator.ArbiterLinked(now, link.process.Gateway))
 	return id
 }
 
--- a/internal/transient/arbiter/arbiter.go
+++ b/internal/transient/arbiter/arbiter.go
@@ -10,6 +10,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -95,9 +96,8 @@
 	Message any
 }
 
-// PeerLinked records a link to another gateway. It reports whether the claims there are unknown to it,
-// because it has been started anew.
-func (a *Arbiter) PeerLinked(now time.Time, p Process) (restarted bool) {
+// PeerLinked records a link to another gateway.
+func (a *Arbiter) PeerLinked(now time.Time, p Process) {
 	if a.peers == nil {
 		a.peers = make(map[identifier.Entry]*peer)
 	}
@@ -108,14 +108,13 @@
 		known.links++
 		known.eligible = known.mayArbitrate(now)
 		delete(a.lost, p)
-		return false
+		return
 	case known.incarnation > p.Incarnation:
-		return false
+		return
 	case known.links > 0:
 		a.noteLost(now, Process{p.Gateway, known.incarnation})
 	}
 	a.peers[p.Gateway] = &peer{incarnation: p.Incarnation, links: 1, eligible: true}
-	return true
 }
 
 // PeerUnlinked records the end of a link to another gateway.
@@ -167,6 +166,25 @@
 	return []identifier.Entry{best}
 }
 
+// SuspendedOf returns the gateways that this one has suspended and would ask for a claim on a job otherwise.
+// They are to be told of the claim, because other gateways may not have suspended them.
+func (a *Arbiter) SuspendedOf(now time.Time, id specifier.JobID) []identifier.Entry {
+	highest := uint64(0)
+	for name, p := range a.peers {
+		if p.mayArbitrate(now) {
+			highest = max(highest, rank(name, id))
+		}
+	}
+	var suspended []identifier.Entry
+	for name, p := range a.peers {
+		if now.Before(p.suspendedUntil) && p.links > 0 && rank(name, id) > highest {
+			suspended = append(suspended, name)
+		}
+	}
+	slices.Sort(suspended)
+	return suspended
+}
+
 // Answered records that a gateway has answered a claim in time.
 func (a *Arbiter) Answered(gateway identifier.Entry) {
 	if p := a.peers[gateway]; p != nil {
@@ -209,6 +227,8 @@
 	case r == nil || r.expired(now):
 		a.records[m.Job] = &record{holder: c}
 		return []Send{grant(m.Job, &c)}
+	case r.overtaken(&c):
+		return nil
 	case r.holder.by == from:
 		var effects []Send
 		if r.next != nil && r.holder.number != m.Number {
@@ -217,7 +237,7 @@
 		}
 		r.holder = c
 		return append(effects, grant(m.Job, &c))
-	case m.Renewal:
+	case m.Renewal && !r.precedes(&c):
 		return []Send{recall(m.Job, &c)}
 	}
 	var effects []Send
@@ -228,6 +248,17 @@
 	return append(effects, a.settle(now, m.Job, r)...)
 }
 
+// precedes reports whether all claims on the job were made before c, which another arbiter may have granted
+// meanwhile. Numbers follow the clock, and callers come again a second or more later.
+func (r *record) precedes(c *claim) bool {
+	return r.holder.number < c.number && (r.next == nil || r.next.number < c.number || r.next.by == c.by)
+}
+
+// overtaken reports whether a later claim of the same process has arrived before c, on another link.
+func (r *record) overtaken(c *claim) bool {
+	return r.holder.by == c.by && r.holder.number > c.number || r.next != nil && r.next.by == c.by && r.next.number > c.number
+}
+
 // settle grants the next claim of a job if the holder cannot have runs any more, and recalls the
 // holder otherwise.
 func (a *Arbiter) settle(now time.Time, id specifier.JobID, r *record) []Send {
--- a/internal/transient/coordinator/claims.go
+++ b/internal/transient/coordinator/claims.go
@@ -16,6 +16,9 @@
 	ArbitersOf(now time.Time, id specifier.JobID) []identifier.Entry
 	// Linked reports whether a gateway can be reached.
 	Linked(gateway identifier.Entry) bool
+	// SuspendedOf returns the gateways that are to be told of a claim on a job, and need not grant it:
+	// other gateways may ask them.
+	SuspendedOf(now time.Time, id specifier.JobID) []identifier.Entry
 }
 
 const (
@@ -103,8 +106,12 @@
 	}
 	// A number is not used again after a restart, as an answer to the earlier incarnation may be late.
 	c.lastClaim = max(c.lastClaim+1, uint64(now.UnixMicro()))
-	j.claim = claim{number: c.lastClaim, expires: j.deadline.Add(claimMargin)}
-	return []Effect{c.askFirst(now, j, arbiters)}
+	j.claim = claim{state: claimed, number: c.lastClaim, expires: j.deadline.Add(claimMargin)}
+	var effects []Effect
+	for _, name := range c.Arbiters.SuspendedOf(now, j.ID) {
+		effects = append(effects, c.sendClaim(now, j, name))
+	}
+	return append(effects, c.askFirst(now, j, arbiters))
 }
 
 // askFirst sends the claim on a job that waits to the first of its arbiters.
@@ -184,17 +191,16 @@
 	return append(c.end(now, j, Answer{State: Unfinished}, CauseRecalled), c.place(now)...)
 }
 
-// ArbiterLinked handles a new link to a gateway. Claims that wait for it are sent again, because they
-// may have been lost. If the gateway was restarted, so are those that it has granted.
-func (c *Coordinator) ArbiterLinked(now time.Time, name identifier.Entry, restarted bool) []Effect {
+// ArbiterLinked handles a new link to a gateway. The claims that were sent to it are sent again: it may
+// have been started anew, or they may have been lost with an earlier link.
+func (c *Coordinator) ArbiterLinked(now time.Time, name identifier.Entry) []Effect {
 	var effects []Effect
 	for _, j := range c.sortedJobs() {
 		switch {
-		case j.ended && j.claim.waits():
-		case j.claim.waits() && j.claim.arbiter() == name:
-			effects = append(effects, c.sendClaim(now, j, name))
-		case restarted && !j.claim.waits():
+		case !j.claim.waits():
 			j.claim.asked = slices.DeleteFunc(j.claim.asked, func(a identifier.Entry) bool { return a == name })
+		case !j.ended && j.claim.arbiter() == name:
+			effects = append(effects, c.sendClaim(now, j, name))
 		}
 	}
 	return append(effects, c.ArbitersChanged(now)...)
--- a/internal/transient/coordinator/coordinator_test.go
+++ b/internal/transient/coordinator/coordinator_test.go
@@ -36,6 +36,8 @@
 	permitSequence uint64
 	// arbiters holds the arbiters of all jobs.
 	arbiters []identifier.Entry
+	// suspended holds the gateways that are to be told of claims.
+	suspended []identifier.Entry
 }
 
 // ArbitersOf returns the arbiters of all jobs.
@@ -48,6 +50,11 @@
 	return gateway != "off"
 }
 
+// SuspendedOf returns the gateways that are to be told of claims.
+func (d *driver) SuspendedOf(time.Time, specifier.JobID) []identifier.Entry {
+	return d.suspended
+}
+
 // claimNumber returns the number of the claim that a script calls number: claims are numbered from 1 in
 // scripts, and by the time of day otherwise.
 func claimNumber(t *testing.T, word string) uint64 {
@@ -80,7 +87,7 @@
 //	ended AGENT TASK OUTCOME [reason=R] [took=D]
 //	crash AGENT STARTED [TASK]...; report AGENT STARTED [TASK]...
 //	arbiters [GATEWAY]... (changes the arbiters of all jobs)
-//	arbiter_linked GATEWAY [restarted]
+//	suspended [GATEWAY]... (are to be told of claims); arbiter_linked GATEWAY
 //	grant GATEWAY JOB NUMBER; contested GATEWAY JOB NUMBER; recall GATEWAY JOB NUMBER
 func (d *driver) step(t *testing.T, now time.Time, words []string) string {
 	args, options := split(words[1:])
@@ -146,7 +153,12 @@
 		}
 		effects = d.c.ArbitersChanged(now)
 	case "arbiter_linked":
-		effects = d.c.ArbiterLinked(now, identifier.Entry(args[0]), args[1] == "restarted")
+		effects = d.c.ArbiterLinked(now, identifier.Entry(args[0]))
+	case "suspended":
+		d.suspended = nil
+		for _, w := range words[1:] {
+			d.suspended = append(d.suspended, identifier.Entry(w))
+		}
 	case "grant":
 		effects = d.c.HandleGrant(now, identifier.Entry(args[0]), &arbiter.Grant{Job: specifier.JobID(args[1]), Number: claimNumber(t, args[2])})
 	case "contested":
--- a/internal/transient/simulator/contest_test.go
+++ b/internal/transient/simulator/contest_test.go
@@ -21,6 +21,9 @@
 	// the end of a run under one to the start of a run under the other. It is negative if they overlap.
 	handedOver bool
 	gap        time.Duration
+	// recalledInVain counts the jobs that were ended in favour of another gateway although their callers
+	// waited, and had not submitted them again.
+	recalledInVain int
 }
 
 // process is an incarnation of a gateway. Two of one gateway are two owners of a job.
--- a/internal/transient/simulator/peers_test.go
+++ b/internal/transient/simulator/peers_test.go
@@ -253,8 +253,8 @@
 func (g *gateway) peerLinked(now time.Time, name identifier.Entry, incarnation identifier.Incarnation) {
 	g.sim.logf("%s linked to peer %s %d", g.name, name, incarnation)
 	g.peerIncarnations[name] = incarnation
-	restarted := g.arbiter.PeerLinked(now, arbiter.Process{Gateway: name, Incarnation: incarnation})
-	g.perform(g.coordinator.ArbiterLinked(now, name, restarted))
+	g.arbiter.PeerLinked(now, arbiter.Process{Gateway: name, Incarnation: incarnation})
+	g.perform(g.coordinator.ArbiterLinked(now, name))
 }
 
 // peerUnlinked handles the end of the link to another gateway.
