--- a/internal/transient/arbiter/arbiter.go
+++ b/internal/transient/arbiter/arbiter.go
@@ -218,7 +218,7 @@
 		}
 		r.holder = c
 		return append(effects, grant(m.Job, &c))
-	case m.Renewal && !r.precedes(&c):
+	case m.Renewal && !r.precedes(&c), r.outdates(&c):
 		return []Send{recall(m.Job, &c)}
 	}
 	var effects []Send
@@ -235,6 +235,16 @@
 	return r.holder.number < c.number && (r.next == nil || r.next.number < c.number || r.next.by == c.by)
 }
 
+// lateClaim is how much earlier than another one, in numbers, a claim was made that is read late. The order of
+// closer ones is that in which they arrive, because the clocks of gateways differ.
+const lateClaim = uint64(500 * time.Millisecond / time.Microsecond)
+
+// outdates reports whether a claim on the job was made so long after c that c has been read late: its arbiter
+// stood still. Its caller has left since.
+func (r *record) outdates(c *claim) bool {
+	return r.holder.number > c.number+lateClaim || r.next != nil && r.next.number > c.number+lateClaim
+}
+
 // overtaken reports whether a later claim of the same process has arrived before c, on another link.
 func (r *record) overtaken(c *claim) bool {
 	return r.holder.by == c.by && r.holder.number > c.number || r.next != nil && r.next.by == c.by && r.next.number > c.number
--- a/internal/transient/arbiter/messages.go
+++ b/internal/transient/arbiter/messages.go
@@ -12,8 +12,8 @@
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Job specifier.JobID
-	// Number numbers the claims of one incarnation of a gateway. Numbers follow the clock, so that of two
-	// gateways' claims on a job the later one has the higher number.
+	// Number numbers the claims of one incarnation of a gateway. They are microseconds by its
+	// clock or more, so that of two gateways' claims on a job the later one has the higher number.
 	Number uint64
 	// Validity is how long the job can have runs at the claimant, from when the claim is sent.
 	Validity time.Duration
