--- a/internal/transient/arbiter/arbiter.go
+++ b/internal/transient/arbiter/arbiter.go
@@ -237,7 +237,7 @@
 		}
 		r.holder = c
 		return append(effects, grant(m.Job, &c))
-	case m.Renewal && !r.precedes(&c), r.outdates(&c):
+	case m.Renewal && !r.precedes(&c), a.outdates(r, &c):
 		return []Send{recall(m.Job, &c)}
 	}
 	var effects []Send
@@ -259,9 +259,11 @@
 const lateClaim = uint64(500 * time.Millisecond / time.Microsecond)
 
 // outdates reports whether a claim on the job was made so long after c that c has been read late: its arbiter
-// stood still. Its caller has left since.
-func (r *record) outdates(c *claim) bool {
-	return r.holder.number > c.number+lateClaim || r.next != nil && r.next.number > c.number+lateClaim
+// stood still. Its caller has left since. Claims of lost gateways do not count, as these may have
+// numbered them by a clock that was ahead, and yield nothing.
+func (a *Arbiter) outdates(r *record, c *claim) bool {
+	later := func(other *claim) bool { return other.number > c.number+lateClaim && a.linked(other.by) }
+	return later(&r.holder) || r.next != nil && later(r.next)
 }
 
 // overtaken reports whether a later claim of the same process has arrived before c, on another link.
