--- a/internal/transient/coordinator/claims.go
+++ b/internal/transient/coordinator/claims.go
@@ -203,15 +203,16 @@
 	return append(effects, c.ArbitersChanged(now)...)
 }
 
-// ArbitersChanged claims the jobs that have other arbiters now, who do not know of them. Those that have
-// ended may still have runs.
+// ArbitersChanged claims the jobs that have other arbiters now, who do not know of them, or that had none.
+// Those that have ended may still have runs.
 func (c *Coordinator) ArbitersChanged(now time.Time) []Effect {
 	var effects []Effect
 	for _, j := range c.sortedJobs() {
-		if j.claim.state == unclaimed {
-			continue
-		}
 		arbiters := c.Arbiters.ArbitersOf(now, j.ID)
+		if j.claim.state == unclaimed && len(arbiters) > 0 {
+			// The number tells when the job came, because a later submission stands against this one.
+			j.claim = claim{state: assumed, number: uint64(j.arrived.UnixMicro()), expires: j.deadline.Add(claimMargin), settled: j.arrived}
+		}
 		switch {
 		case len(arbiters) == 0:
 		case !j.claim.waits():
