--- a/internal/transient/coordinator/claims.go
+++ b/internal/transient/coordinator/claims.go
@@ -206,15 +206,19 @@
 	return append(effects, c.ArbitersChanged(now)...)
 }
 
-// ArbitersChanged claims the jobs that have other arbiters now, who do not know of them. Those that have
-// ended count while their runs go on.
+// ArbitersChanged claims the jobs that have other arbiters now, who do not know of them, or that had none.
+// Those that have ended count while their runs go on.
 func (c *Coordinator) ArbitersChanged(now time.Time) []Effect {
 	var effects []Effect
 	for _, j := range c.sortedJobs() {
-		if j.claim.state == unclaimed || j.ended && j.claim.waits() {
+		if j.ended && j.claim.waits() {
 			continue
 		}
 		arbiters := c.Arbiters.ArbitersOf(now, j.ID)
+		if j.claim.state == unclaimed && len(arbiters) > 0 {
+			// The number tells when the job came, because a later submission stands against this one.
+			j.claim = claim{state: assumed, number: uint64(j.arrived.UnixMicro()), expires: j.deadline.Add(claimMargin), settled: j.arrived}
+		}
 		switch {
 		case len(arbiters) == 0:
 		case !j.claim.waits():
