--- a/internal/gateway/runner/links.go
+++ b/internal/gateway/runner/links.go
@@ -36,14 +36,19 @@
 }
 
 // serveAgent handles the messages of an agent until its link ends. A new link of an
-// agent replaces the previous one.
+// agent replaces the previous one. One that was dialled before that is closed.
 func (r *Runner) serveAgent(ctx context.Context, link *connector.Link, hello registrar.Hello) {
 	r.mu.Lock()
+	if !r.coordinator.AgentLinked(r.clock(), hello.Agent, hello.Incarnation, hello.Link) {
+		r.mu.Unlock()
+		link.Close()
+		r.log.Warn("link_outdated", zap.String("agent", string(hello.Agent)), zap.Uint64("incarnation", uint64(hello.Incarnation)), zap.Uint64("link", hello.Link))
+		return
+	}
 	if previous := r.agentLinks[hello.Agent]; previous != nil {
 		previous.Close()
 	}
 	r.agentLinks[hello.Agent] = link
-	r.coordinator.AgentLinked(r.clock(), hello.Agent, hello.Incarnation)
 	r.send(link, &selector.Directory{Gateways: r.linker.Known()})
 	r.mu.Unlock()
 	r.log.Info("agent_linked", zap.String("agent", string(hello.Agent)), zap.Uint64("incarnation", uint64(hello.Incarnation)))
--- a/internal/gateway/runner/perform_test.go
+++ b/internal/gateway/runner/perform_test.go
@@ -52,7 +52,7 @@
 
 	r.mu.Lock()
 	r.agentLinks["s1"] = link
-	r.coordinator.AgentLinked(now, "s1", 1)
+	r.coordinator.AgentLinked(now, "s1", 1, 1)
 	status := executor.Status{Available: true, Capacity: specifier.Resources{CPU: 1000}}
 	r.perform(r.coordinator.HandleAttach(now, "s1", &executor.Attach{Status: status}))
 	r.perform(r.coordinator.HandlePermitRequest(now, "s1", &executor.PermitRequest{Sequence: 1}))
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -63,6 +63,9 @@
 	Entry       identifier.Entry
 	Agent       identifier.Agent
 	Incarnation identifier.Incarnation
+	// Link numbers the links of one incarnation of a sidecar, which the other side may register in
+	// another order. It is zero for other processes.
+	Link uint64
 }
 
 // Welcome is the reply to a Hello.
--- a/internal/sidecar/runner/links.go
+++ b/internal/sidecar/runner/links.go
@@ -19,7 +19,7 @@
 // session dials a gateway and handles its messages until the link ends. It reports whether
 // the link was established.
 func (r *Runner) session(ctx context.Context, p registrar.Peer) bool {
-	hello := registrar.Hello{Agent: r.settings.Name, Incarnation: r.incarnation}
+	hello := registrar.Hello{Agent: r.settings.Name, Incarnation: r.incarnation, Link: r.lastLink.Add(1)}
 	link, welcome, err := connector.Dial(ctx, r.deps.Dial, p.Link, r.settings.Timing, hello)
 	if err != nil {
 		if ctx.Err() == nil {
--- a/internal/sidecar/runner/runner.go
+++ b/internal/sidecar/runner/runner.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -64,6 +65,8 @@
 	linker      *linker.Linker
 	incarnation identifier.Incarnation
 	counters    counters
+	// lastLink is the number of the link that was dialled last.
+	lastLink atomic.Uint64
 
 	mu       sync.Mutex
 	executor executor.Executor
--- a/internal/transient/coordinator/agents.go
+++ b/internal/transient/coordinator/agents.go
@@ -49,9 +49,12 @@
 // withheldPause is how long an agent gets no start after it has refused one for want of a permit.
 const withheldPause = 50 * time.Millisecond
 
-// AgentLinked records a new link from an agent. The agent gets no work before its Attach
-// message.
-func (c *Coordinator) AgentLinked(now time.Time, name identifier.Agent, incarnation identifier.Incarnation) {
+// AgentLinked records a new link from an agent, which numbers its links. The agent gets no work before
+// its Attach message. It reports false, and has no effect, if a later link was recorded before.
+func (c *Coordinator) AgentLinked(now time.Time, name identifier.Agent, incarnation identifier.Incarnation, number uint64) bool {
+	if !c.links.add(name, incarnation, number) {
+		return false
+	}
 	if c.agents == nil {
 		c.agents = make(map[identifier.Agent]*agent)
 	}
@@ -68,6 +71,7 @@
 			a.staleUntil = now.Add(executor.RunsOverAfter)
 		}
 	}
+	return true
 }
 
 // AgentUnlinked records the end of a link. The state of the runs at the agent is unknown
--- a/internal/transient/coordinator/bench_test.go
+++ b/internal/transient/coordinator/bench_test.go
@@ -60,7 +60,7 @@
 	capacity := specifier.Resources{CPU: 16_000, Memory: 1 << 16}
 	for n := range agents {
 		name := identifier.Agent(fmt.Sprintf("side-%d", n))
-		c.AgentLinked(now, name, 1)
+		c.AgentLinked(now, name, 1, 1)
 		c.HandleAttach(now, name, &executor.Attach{Status: executor.Status{Available: true, Service: "s", Zone: "a", Capacity: capacity, UsedByOthers: others}})
 	}
 	return c
--- a/internal/transient/coordinator/coordinator.go
+++ b/internal/transient/coordinator/coordinator.go
@@ -31,6 +31,7 @@
 
 	jobs   map[specifier.JobID]*job
 	agents map[identifier.Agent]*agent
+	links  linkOrder
 	// waiting holds the jobs with pending tasks, sorted by compareUrgency.
 	waiting []*job
 	// answers holds recent answers, for callers that submit a job again.
--- a/internal/transient/coordinator/coordinator_test.go
+++ b/internal/transient/coordinator/coordinator_test.go
@@ -80,7 +80,7 @@
 //	submit JOB TASKS [queue=NAME] [priority=N] [attempts=N] [cpu=N] [estimate=D] [budget=D] [rack=R] [label=L]
 //	close JOB (the caller closes its connection, which caller_left reads later)
 //	caller_left JOB; cancel JOB; state JOB; knows JOB; waiting QUEUE; tick; drain LIMIT; stop
-//	link AGENT INCARNATION; unlink AGENT
+//	link AGENT INCARNATION [NUMBER]; unlink AGENT
 //	attach AGENT CPU [unavailable] [label=L] [has=TASK]... [ended=TASK:OUTCOME]... [crash=STARTED:TASK]... [no_request]
 //	release AGENT
 //	status AGENT CPU [unavailable] [stalled]; load AGENT CPU; request_permit AGENT
@@ -119,7 +119,13 @@
 	case "stop":
 		effects = d.c.Stop(now)
 	case "link":
-		d.c.AgentLinked(now, agent, identifier.Incarnation(scripter.Number(t, args[1])))
+		number := uint64(0)
+		if args[2] != "" {
+			number = uint64(scripter.Number(t, args[2]))
+		}
+		if !d.c.AgentLinked(now, agent, identifier.Incarnation(scripter.Number(t, args[1])), number) {
+			return "refused"
+		}
 	case "unlink":
 		d.c.AgentUnlinked(agent)
 	case "attach":
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -206,6 +206,8 @@
 	links       map[*gateway]*link
 	worker      *worker
 	sequence    uint64
+	// lastLink is the number of the last link.
+	lastLink uint64
 }
 
 // clockSetBack is how far the clock of an agent is set back at every third boot.
@@ -341,7 +343,8 @@
 	}
 	g.links[a] = l
 	a.links[g] = l
-	g.coordinator.AgentLinked(a.sim.now, a.name, a.incarnation)
+	a.lastLink++
+	g.coordinator.AgentLinked(a.sim.now, a.name, a.incarnation, a.lastLink)
 	a.perform(a.executor.GatewayLinked(a.sim.now, g.name, g.incarnation))
 }
 
