--- a/internal/transient/simulator/histories_test.go
+++ b/internal/transient/simulator/histories_test.go
@@ -159,6 +159,38 @@
 	return s
 }
 
+// TestLateLinkHistories simulates the faults of TestHistories with gateways that register links late while
+// they are short of processor time, so that an earlier link of an agent may come after a later one. It guards
+// against runs that are taken as over because an earlier link does not list them.
+func TestLateLinkHistories(t *testing.T) {
+	testHistories(t, (*histories+14)/15, simulateLateLinks)
+}
+
+// simulateLateLinks simulates one history of TestLateLinkHistories.
+func simulateLateLinks(seed uint64) *simulation {
+	s := newSimulation(seed, 3, 3)
+	s.ordered, s.lateLinks = true, true
+	s.linkPeers(seed)
+	for at := time.Duration(0); at < historyLength; at += time.Duration(s.random.IntN(1500)) * time.Millisecond {
+		s.after(at, s.slowGateway)
+	}
+	s.submitAndFail(0)
+	return s
+}
+
+// slowGateway makes a gateway short of processor time, and resets its links.
+func (s *simulation) slowGateway() {
+	g := s.gateways[s.random.IntN(len(s.gateways))]
+	lag, d := time.Duration(1+s.random.Int64N(int64(maxLag))), time.Duration(s.random.IntN(3000))*time.Millisecond
+	s.logf("fault %s short of processor time, lag %s for %s", g.name, lag, d)
+	g.slow(lag, d)
+	for _, a := range s.agents {
+		if l := a.links[g]; l != nil {
+			l.reset()
+		}
+	}
+}
+
 // TestLostGatewayHistories simulates histories in which connections of callers are cut, and gateways are
 // killed again and again, also shortly before a caller submits its job to another one. Agents are isolated or
 // stand still and workers answer no stops, so that runs outlive their gateways.
--- a/internal/transient/simulator/hosts_test.go
+++ b/internal/transient/simulator/hosts_test.go
@@ -59,6 +59,33 @@
 	})
 }
 
+// linksOf returns the links with an agent: the one that is registered, and one that the agent has dialled
+// and that is not registered yet.
+func (g *gateway) linksOf(a *agent) []*link {
+	var links []*link
+	if l := g.links[a]; l != nil {
+		links = append(links, l)
+	}
+	if l := a.links[g]; l != nil && l != g.links[a] && l.gatewayOpen && g.sim.lateLinks {
+		links = append(links, l)
+	}
+	return links
+}
+
+// register records a link that an agent has dialled, in place of an earlier one.
+func (g *gateway) register(l *link, incarnation identifier.Incarnation, number uint64) {
+	a := l.agent
+	if !g.coordinator.AgentLinked(g.sim.now, a.name, incarnation, number) {
+		l.closeGatewayEnd()
+		return
+	}
+	previous := g.links[a]
+	g.links[a] = l
+	if previous != nil {
+		previous.closeGatewayEnd()
+	}
+}
+
 // accept handles the request of a submission.
 func (g *gateway) accept(sub *submission) {
 	if sub.closed && g.sim.network.late() {
@@ -97,7 +124,7 @@
 	g.up = false
 	g.generation++
 	for _, a := range g.sim.agents {
-		if l := g.links[a]; l != nil {
+		for _, l := range g.linksOf(a) {
 			l.gatewayOpen = false
 			if !powerLoss && !l.blocked() {
 				a.schedule(l.delay(), l, func() { l.closeAgentEnd() })
@@ -338,13 +365,17 @@
 		return
 	}
 	l := &link{sim: a.sim, agent: a, gateway: g, agentOpen: true, gatewayOpen: true, agentLastHeard: a.sim.now, gatewayLastHeard: a.sim.now}
-	if previous := g.links[a]; previous != nil {
-		previous.closeGatewayEnd()
+	a.lastLink++
+	incarnation, number := a.incarnation, a.lastLink
+	if a.sim.lateLinks {
+		// What the agent sends follows. Links are registered in any order while the gateway is slow.
+		d := l.delay()
+		l.gatewayNextArrival = a.sim.now.Add(d)
+		g.schedule(d, l, func() { g.register(l, incarnation, number) })
+	} else {
+		g.register(l, incarnation, number)
 	}
-	g.links[a] = l
 	a.links[g] = l
-	a.lastLink++
-	g.coordinator.AgentLinked(a.sim.now, a.name, a.incarnation, a.lastLink)
 	a.perform(a.executor.GatewayLinked(a.sim.now, g.name, g.incarnation))
 }
 
--- a/internal/transient/simulator/simulation_test.go
+++ b/internal/transient/simulator/simulation_test.go
@@ -50,6 +50,8 @@
 	// exactLeases is set if workers take the end of a lease as a time on their clock. Otherwise they
 	// count a lease that has ended from the arrival of the call.
 	exactLeases bool
+	// lateLinks is set if gateways register the links of agents as late as they handle messages.
+	lateLinks bool
 	// ordered is set if the events of a source keep their order also when a host is frozen while it is short
 	// of processor time. The histories of the regressions were found without it.
 	ordered bool
