--- a/internal/transient/coordinator/claims.go
+++ b/internal/transient/coordinator/claims.go
@@ -24,7 +24,7 @@
 const (
 	// claimTimeout is how long a job waits for an arbiter to answer, before its tasks are started
 	// without it. Between data centres an answer takes a few milliseconds.
-	claimTimeout = 15 * time.Millisecond
+	claimTimeout = 50 * time.Millisecond
 	// slowClaimTimeout replaces claimTimeout while this process is short of processor time, and the
 	// answer may have arrived. Such a process also learns late that callers have left.
 	slowClaimTimeout = 500 * time.Millisecond
