--- a/internal/transient/coordinator/claims.go
+++ b/internal/transient/coordinator/claims.go
@@ -37,8 +37,8 @@
 	claimInterval = 100 * time.Millisecond
 	// claimMargin is how long runs may go on after the deadline of their job.
 	claimMargin = 2 * time.Second
-	// maxIdleClaim is how long a claim may outlast its job without a Yield, if the job was answered
-	// for good.
+	// maxIdleClaim is how long a claim may outlast its job without a Yield, if its caller has got a
+	// final answer.
 	maxIdleClaim = 5 * time.Second
 )
 
