--- a/internal/gateway/runner/perform_test.go
+++ b/internal/gateway/runner/perform_test.go
@@ -64,7 +64,7 @@
 	later := uint64(now.Add(time.Minute).UnixMicro())
 	r.arbiter.HandleClaim(now, g2, &arbiter.Claim{Job: "a", Number: later, Validity: time.Minute})
 	r.perform(r.coordinator.Submit(now, specifier.Job{ID: "a", Tasks: 1, Demand: specifier.Resources{CPU: 100}, Budget: time.Second}))
-	now = now.Add(20 * time.Millisecond)
+	now = now.Add(50 * time.Millisecond)
 	r.perform(r.coordinator.Tick(now))
 	r.mu.Unlock()
 
