--- a/review/_rig2/cell.go
+++ b/review/_rig2/cell.go
@@ -30,6 +30,8 @@
 	service = "huvo11a"
 	zone    = "gulf-a"
 	queue   = "order-price"
+	// attempts is the number of failures that the queue allows a task.
+	attempts = 3
 )
 
 // Ports of the machines. Each machine has a loopback address of its own.
@@ -107,7 +109,7 @@
 		}
 		c.workerConfigs = append(c.workerConfigs, workerConfig{
 			ID: fmt.Sprintf("i-%08x", 0x7f3a9100+i), Service: service, Zone: zone, Addr: fmt.Sprintf("%s:%d", ip, appPort), Control: fmt.Sprintf("%s:%d", ip, controlPort),
-			Labels: labels[i], CPU: 16000, MemMB: 65536, Record: c.recordFile,
+			Labels: labels[i], CPU: 16000, MemMB: 65536, Record: c.recordFile, Unanswered: c.unansweredFile(),
 		})
 		c.workers = append(c.workers, &process{name: fmt.Sprintf("worker-%d", i+1), ip: ip, log: filepath.Join(c.dir, fmt.Sprintf("worker-%d.log", i+1))})
 		if err := c.startWorker(i); err != nil {
@@ -117,6 +119,9 @@
 	return c.awaitReady()
 }
 
+// unansweredFile returns the file whose presence makes workers leave orders to start unanswered.
+func (c *cell) unansweredFile() string { return filepath.Join(c.dir, "unanswered") }
+
 // deployCommands returns the commands of the roles in the deploy file.
 func deployCommands() (map[string][]string, error) {
 	f, err := os.Open("deploy/system.toml")
@@ -158,7 +163,7 @@
 	b, _ := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
-			"name": queue, "host": host, "path_prefix": prefix, "service": service, "priority": 2, "attempts": 3,
+			"name": queue, "host": host, "path_prefix": prefix, "service": service, "priority": 2, "attempts": attempts,
 			"stretch": 1.6, "slo_ms": 60, "timeout_ms": 20000,
 		}},
 		"services": []map[string]any{{"name": service, "admission_check": true}},
@@ -391,6 +396,9 @@
 	var order []string
 	for _, e := range c.events(id) {
 		key := e.task + " run " + e.run + " on " + e.worker
+		if e.event == "unanswered" {
+			continue
+		}
 		if e.event == "start" {
 			open[key] = true
 			order = append(order, key)
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -17,6 +17,7 @@
 
 // cases are the cases by name. Each returns whether the rule held, or an error if the case could not run.
 var cases = map[string]func(c *cell, trouble bool) (bool, error){
+	"blame":     playBlame,
 	"cancel":    playCancel,
 	"drain":     playDrain,
 	"label":     playLabel,
--- a/review/_rig2/worker.go
+++ b/review/_rig2/worker.go
@@ -24,6 +24,9 @@
 	CPU, MemMB    int
 	// Record is the file that the worker appends its starts and ends to.
 	Record string
+	// While the file Unanswered exists, the worker leaves orders to start a task unanswered, and carries
+	// them out lateBy later.
+	Unanswered string
 }
 
 const (
@@ -32,6 +35,7 @@
 	// reportInterval is heartbeat_ms of the settings.
 	reportInterval = 1500 * time.Millisecond
 	maxWait        = 2 * time.Second
+	lateBy         = 2 * time.Second
 	maxEndsListed  = 500
 )
 
@@ -182,6 +186,10 @@
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if _, err := os.Stat(w.cfg.Unanswered); err == nil && r.URL.Path == "/run-start" {
+			w.record("unanswered", o.Task, o.Run, "")
+			time.Sleep(lateBy)
+		}
 		w.mu.Lock()
 		var status int
 		var body map[string]any
