--- a/review/_rig2/label.go
+++ b/review/_rig2/label.go
@@ -9,7 +9,7 @@
 
 // playLabel submits jobs that require the label b. With trouble, a side machine freezes for a moment, and
 // its worker crashes meanwhile and starts again as kind a, under its id and address. That is repeated on one of the
-// machines after the other, up to eight times, until the rule is broken.
+// machines after the other, up to sixteen times, until the rule is broken.
 func playLabel(c *cell, trouble bool) (bool, error) {
 	const (
 		taskTime = 500 * time.Millisecond
@@ -18,7 +18,7 @@
 		// downtime is how long the worker is down, freeze how long the machine stands still.
 		downtime = 150 * time.Millisecond
 		freeze   = 380 * time.Millisecond
-		rounds   = 8
+		rounds   = 16
 		// lead is how long before the machine wakes the job is sent.
 		lead = 100 * time.Millisecond
 	)
