--- a/review/_rig3/cancels.go
+++ b/review/_rig3/cancels.go
@@ -172,6 +172,55 @@
 	return judgeStarts(c, id, acked, time.Time{}), nil
 }
 
+// copyDuringCut: jobs are submitted and cancelled at a gateway that is cut off from the other gateways and from the
+// store. A copy of each submission arrives at another gateway seconds later.
+func copyDuringCut(rec *record, program, dir string, trouble bool) (bool, error) {
+	const length = 5500 * time.Millisecond
+	c, err := startCell(rec, program, dir, config{gateways: 3, sidecars: 3, cpu: 16000, runTime: 760 * time.Millisecond, proxied: true})
+	defer c.close()
+	if err != nil {
+		return false, err
+	}
+	// All machines are in touch from here on, but for the one that is cut off.
+	time.Sleep(stableWindow + 500*time.Millisecond)
+	other := c.gateways[1]
+	cutAt := time.Now()
+	if trouble {
+		c.cutGateway(true, other)
+	}
+	time.Sleep(300 * time.Millisecond)
+	ids := []string{"5c0e7a21d94b36f0", "5c0e7a21d94b36f1"}
+	acked := make(map[string]time.Time)
+	for _, id := range ids {
+		posted := c.submit(other, id, 4, 1600, 760*time.Millisecond, 5*time.Second)
+		time.Sleep(250 * time.Millisecond)
+		if acked[id], err = acknowledged(c.call(other, http.MethodDelete, id, nil, ackBound)); err != nil {
+			return false, err
+		}
+		<-posted
+	}
+	time.Sleep(time.Until(acked[ids[1]].Add(cancelBound + 200*time.Millisecond)))
+	if since := time.Since(cutAt); since > length-200*time.Millisecond {
+		return false, fmt.Errorf("the copies would be sent %s after the beginning of the cut; is the machine busy?", since)
+	}
+	copies := []<-chan answer{
+		c.submit(c.gateways[0], ids[0], 4, 1600, 760*time.Millisecond, 5*time.Second),
+		c.submit(c.gateways[2], ids[1], 4, 1600, 760*time.Millisecond, 5*time.Second),
+	}
+	time.Sleep(time.Until(cutAt.Add(length)))
+	if trouble {
+		c.cutGateway(false, other)
+	}
+	for _, done := range copies {
+		<-done
+	}
+	broken := false
+	for _, id := range ids {
+		broken = judgeStarts(c, id, acked[id], time.Time{}) || broken
+	}
+	return broken, nil
+}
+
 // jobWithRanks returns a job for which the gateways with the given indexes are arbiters in that order, another one for
 // each round.
 func (c *cell) jobWithRanks(round int, order ...int) string {
--- a/review/_rig3/cell.go
+++ b/review/_rig3/cell.go
@@ -97,18 +97,17 @@
 
 // cell is a small deployment: a store, gateways, and sidecars with their workers.
 type cell struct {
-	rec       *record
-	dir       string
-	program   string
-	store     *standin.Store
-	storeAddr string
-	obs       *observer
-	gateways  []*gatewayInfo
-	sidecars  []*process
-	workers   []*standin.Worker
-	stop      context.CancelFunc
-	served    sync.WaitGroup
-	proxies   *proxies
+	rec      *record
+	dir      string
+	program  string
+	store    *standin.Store
+	obs      *observer
+	gateways []*gatewayInfo
+	sidecars []*process
+	workers  []*standin.Worker
+	stop     context.CancelFunc
+	served   sync.WaitGroup
+	proxies  *proxies
 }
 
 // config describes a cell.
@@ -158,7 +157,6 @@
 		return c, err
 	}
 	storeAddr := ln.Addr().String()
-	c.storeAddr = storeAddr
 	c.serve(func() { _ = c.store.Run(ctx, ln) })
 	if err := c.startGateways(ctx, cfg, storeAddr); err != nil {
 		return c, err
@@ -168,9 +166,6 @@
 			return c, err
 		}
 	}
-	if cfg.sidecars == 0 {
-		return c, nil
-	}
 	return c, c.awaitReady(10 * time.Second)
 }
 
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -16,6 +16,7 @@
 	"cancel-all-killed":  cancelAllKilled,
 	"cancel-during-cut":  cancelDuringCut,
 	"cancel-before-heal": cancelBeforeHeal,
+	"copy-during-cut":    copyDuringCut,
 }
 
 func main() {
