--- a/review/_rig3/cancels.go
+++ b/review/_rig3/cancels.go
@@ -224,17 +224,25 @@
 // jobWithRanks returns a job for which the gateways with the given indexes are arbiters in that order, another one for
 // each round.
 func (c *cell) jobWithRanks(round int, order ...int) string {
+	var names []string
+	for _, i := range order {
+		names = append(names, c.gateways[i].name)
+	}
+	return jobRanked(round, names...)
+}
+
+// jobRanked returns a job for which gateways are arbiters in the given order, another one for each round.
+func jobRanked(round int, names ...string) string {
 	for n := round << 12; ; n++ {
 		id := fmt.Sprintf("5c0e7a21d94b%04x", n)
 		fits := true
-		for i, index := range order[:len(order)-1] {
-			a := arbiter.Arbiter{Self: arbiter.Process{Gateway: identifier.Entry(c.gateways[order[len(order)-1]].name)}}
-			for _, later := range order[i:] {
-				a.PeerLinked(time.Now(), arbiter.Process{Gateway: identifier.Entry(c.gateways[later].name), Incarnation: 1})
+		for i, name := range names[:len(names)-1] {
+			// Of this gateway and those that come after it, it has to rank first.
+			a := arbiter.Arbiter{Self: arbiter.Process{Gateway: identifier.Entry(names[len(names)-1])}}
+			for _, later := range names[i:] {
+				a.PeerLinked(time.Now(), arbiter.Process{Gateway: identifier.Entry(later), Incarnation: 1})
 			}
-			// The rank of each gateway is compared with those that come after it.
-			first := a.ArbitersOf(time.Now(), specifier.JobID(id))
-			fits = fits && first[0] == identifier.Entry(c.gateways[index].name)
+			fits = fits && a.ArbitersOf(time.Now(), specifier.JobID(id))[0] == identifier.Entry(name)
 		}
 		if fits {
 			return id
--- a/review/_rig3/cell.go
+++ b/review/_rig3/cell.go
@@ -92,7 +92,7 @@
 // case listens, if the case has one.
 type gatewayInfo struct {
 	*process
-	callers, ready, link, through, store string
+	zone, callers, ready, link, through, store string
 }
 
 // cell is a small deployment: a store, gateways, and sidecars with their workers.
@@ -108,11 +108,16 @@
 	stop     context.CancelFunc
 	served   sync.WaitGroup
 	proxies  *proxies
+	// ips holds the addresses of gateways, and ports their ports, which are the same on each.
+	ips   []string
+	ports []int
 }
 
 // config describes a cell.
 type config struct {
 	gateways, sidecars int
+	// replacements is the number of gateways that are started later, at other addresses.
+	replacements int
 	// cpu is the capacity of each worker, in millicores, and runTime the run time of each task.
 	cpu     int
 	runTime time.Duration
@@ -180,43 +185,19 @@
 func gatewayIP(i int) string { return fmt.Sprintf("127.0.0.%d", 11+i) }
 
 func (c *cell) startGateways(ctx context.Context, cfg config, storeAddr string) error {
-	var ips []string
-	for i := range cfg.gateways {
-		ips = append(ips, gatewayIP(i))
+	for i := range cfg.gateways + cfg.replacements {
+		c.ips = append(c.ips, gatewayIP(i))
 	}
-	ports := make([]int, 4)
-	for i := range ports {
+	c.ports = make([]int, 4)
+	for i := range c.ports {
 		var err error
-		if ports[i], err = freePort(ips...); err != nil {
+		if c.ports[i], err = freePort(c.ips...); err != nil {
 			return err
 		}
 	}
-	var seeds []string
-	for _, ip := range ips {
-		seeds = append(seeds, fmt.Sprintf("%s:8166", ip))
-	}
-	for i, ip := range ips {
-		at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
-		g := &gatewayInfo{process: &process{name: fmt.Sprintf("edge-%s-1", zones[i%len(zones)]), role: "gateway"}, callers: at(ports[0]), ready: at(ports[1]), link: at(ports[2]), store: storeAddr}
-		settings := map[string]any{
-			"role": "gateway", "name": g.name, "data_centre": zones[i%len(zones)], "callers": g.callers, "ready": g.ready, "link": g.link, "admin": at(ports[3]),
-			"grace": "6s", "evacuations": false, "remote_rack_factor": 1.5,
-			"contracts": []string{"base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep", "sharing"},
-		}
-		if cfg.proxied {
-			var err error
-			if g.through, err = c.proxies.listenLink(ctx, g.name, g.link); err != nil {
-				return err
-			}
-			if g.store, err = c.proxies.listenPlain(ctx, g.name, "store", storeAddr); err != nil {
-				return err
-			}
-			settings["link_advertised"] = g.through
-		} else {
-			settings["seeds"], settings["seed_link_port"] = seeds, ports[2]
-		}
-		settings["store"] = g.store
-		if err := c.launch(g.process, settings); err != nil {
+	for i := range cfg.gateways {
+		g, err := c.startGateway(ctx, cfg, i, zones[i%len(zones)], storeAddr)
+		if err != nil {
 			return err
 		}
 		c.gateways = append(c.gateways, g)
@@ -224,6 +205,37 @@
 	return nil
 }
 
+// startGateway starts the gateway with a number, which is also that of its address.
+func (c *cell) startGateway(ctx context.Context, cfg config, i int, zone, storeAddr string) (*gatewayInfo, error) {
+	at := func(port int) string { return fmt.Sprintf("%s:%d", c.ips[i], port) }
+	g := &gatewayInfo{process: &process{name: gatewayName(i, zone), role: "gateway"}, zone: zone, callers: at(c.ports[0]), ready: at(c.ports[1]), link: at(c.ports[2]), store: storeAddr}
+	settings := map[string]any{
+		"role": "gateway", "name": g.name, "data_centre": zone, "callers": g.callers, "ready": g.ready, "link": g.link, "admin": at(c.ports[3]),
+		"grace": "6s", "evacuations": false, "remote_rack_factor": 1.5,
+		"contracts": []string{"base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep", "sharing"},
+	}
+	if cfg.proxied {
+		var err error
+		if g.through, err = c.proxies.listenLink(ctx, g.name, g.link); err != nil {
+			return nil, err
+		}
+		if g.store, err = c.proxies.listenPlain(ctx, g.name, "store", storeAddr); err != nil {
+			return nil, err
+		}
+		settings["link_advertised"] = g.through
+	} else {
+		var seeds []string
+		for _, ip := range c.ips[:cfg.gateways] {
+			seeds = append(seeds, fmt.Sprintf("%s:8166", ip))
+		}
+		settings["seeds"], settings["seed_link_port"] = seeds, c.ports[2]
+	}
+	settings["store"] = g.store
+	return g, c.launch(g.process, settings)
+}
+
+func gatewayName(i int, zone string) string { return fmt.Sprintf("edge-%s-%d", zone, 1+i) }
+
 func (c *cell) startSidecar(ctx context.Context, cfg config, i int, storeAddr string) error {
 	orders, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -13,10 +13,11 @@
 const limit = 110 * time.Second
 
 var cases = map[string]func(*record, string, string, bool) (bool, error){
-	"cancel-all-killed":  cancelAllKilled,
-	"cancel-during-cut":  cancelDuringCut,
-	"cancel-before-heal": cancelBeforeHeal,
-	"copy-during-cut":    copyDuringCut,
+	"cancel-all-killed":       cancelAllKilled,
+	"cancel-during-cut":       cancelDuringCut,
+	"cancel-before-heal":      cancelBeforeHeal,
+	"copy-during-cut":         copyDuringCut,
+	"copy-after-replacements": copyAfterReplacements,
 }
 
 func main() {
