--- a/review/_rig3/cell.go
+++ b/review/_rig3/cell.go
@@ -290,6 +290,7 @@
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
+	noteStarted(p.cmd.Process)
 	p.exited = make(chan struct{})
 	go func(cmd *exec.Cmd, exited chan struct{}) {
 		_ = cmd.Wait()
@@ -299,6 +300,33 @@
 	return nil
 }
 
+// started holds all processes that were started, for killStarted.
+var started struct {
+	sync.Mutex
+	processes []*os.Process
+	ended     bool
+}
+
+func noteStarted(p *os.Process) {
+	started.Lock()
+	defer started.Unlock()
+	if started.ended {
+		_ = p.Kill()
+	}
+	started.processes = append(started.processes, p)
+}
+
+// killStarted ends all processes that were started, and those that are started later. It does nothing to one that
+// has ended.
+func killStarted() {
+	started.Lock()
+	defer started.Unlock()
+	started.ended = true
+	for _, p := range started.processes {
+		_ = p.Kill()
+	}
+}
+
 // kill ends a process with SIGKILL.
 func (c *cell) kill(p *process) {
 	_ = p.cmd.Process.Signal(syscall.SIGKILL)
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -5,13 +5,30 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
 // limit ends a case that hangs.
 const limit = 110 * time.Second
 
+// endWhenAsked ends the processes of the case when it hangs, or when it is asked to end.
+func endWhenAsked() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(limit):
+		}
+		killStarted()
+		fmt.Println("the case could not run: it did not end in time, or was asked to end")
+		os.Exit(2)
+	}()
+}
+
 var cases = map[string]func(*record, string, string, bool) (bool, error){
 	"cancel-all-killed":       cancelAllKilled,
 	"cancel-during-cut":       cancelDuringCut,
@@ -26,6 +43,7 @@
 	program := flag.String("program", "target/dandeliongrade", "the program of the project")
 	keep := flag.String("keep", "", "a folder that keeps the logs of the processes")
 	flag.Parse()
+	endWhenAsked()
 	os.Exit(play(*name, *folder, *program, *keep))
 }
 
